--- /dev/null
+++ b/coordination/gossip/gossip.go
@@ -0,0 +1,184 @@
+// Package gossip sends what each instance does to the others, several times a
+// second, in datagrams that may be lost.
+package gossip
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"gentiangauge.example/gentiangauge/state/mirror"
+	"gentiangauge.example/gentiangauge/timer"
+	"gentiangauge.example/gentiangauge/transport/mesh"
+)
+
+// Interval is the time between two beats. Its price is one datagram a peer.
+const Interval = 150 * time.Millisecond
+
+// silentAfter is the time without a beat after which a peer counts as silent.
+const silentAfter = time.Second
+
+// maxDatagram is the largest beat that is sent.
+const maxDatagram = 32 << 10
+
+// Peer is an instance that was heard.
+type Peer struct {
+	Beat
+	At time.Duration
+}
+
+// Gossip sends the beats of this instance and keeps the newest of others.
+type Gossip struct {
+	// Compose returns the beat to send.
+	Compose func() Beat
+	// Heard is called with each new beat of another instance.
+	Heard func(b Beat)
+	// Addresses returns where the other instances listen.
+	Addresses func() []netip.AddrPort
+
+	name  string
+	timer *timer.Service
+	log   *zap.Logger
+	conn  net.PacketConn
+	mu    sync.Mutex
+	peers map[string]Peer
+	seq   int64
+}
+
+// New returns a gossip of the instance with a name on a socket.
+func New(name string, conn net.PacketConn, t *timer.Service, log *zap.Logger) *Gossip {
+	return &Gossip{name: name, conn: conn, timer: t, log: log.Named("gossip"), peers: map[string]Peer{}}
+}
+
+// Run sends and receives beats until c ends.
+func (g *Gossip) Run(c context.Context) {
+	go func() {
+		<-c.Done()
+		_ = g.conn.Close()
+	}()
+	go g.receive(c)
+	g.timer.Subscribe(c, Interval, func(time.Time) { g.Send() })
+}
+
+// Send sends one beat to all peers.
+func (g *Gossip) Send() {
+	b := g.Compose()
+	b.Name = g.name
+	g.mu.Lock()
+	g.seq++
+	b.Sequence = g.seq
+	g.mu.Unlock()
+	data, err := encode(b)
+	if err != nil || len(data) > maxDatagram {
+		g.log.Error("beat cannot be sent", zap.Int("bytes", len(data)), zap.Error(err))
+		return
+	}
+	for _, a := range g.Addresses() {
+		// A datagram that cannot be sent is like a lost one.
+		_, _ = g.conn.WriteTo(data, net.UDPAddrFromAddrPort(a))
+	}
+}
+
+func (g *Gossip) receive(c context.Context) {
+	buf := make([]byte, maxDatagram)
+	for c.Err() == nil {
+		n, _, err := g.conn.ReadFrom(buf)
+		if err != nil {
+			if c.Err() == nil {
+				g.log.Warn("receive beat", zap.Error(err))
+				_ = g.timer.Wait(c, Interval)
+			}
+			continue
+		}
+		b, err := decode(buf[:n])
+		if err != nil {
+			g.log.Warn("beat cannot be read", zap.Error(err))
+			continue
+		}
+		if b.Name != g.name && g.keep(b) {
+			g.Heard(b)
+		}
+	}
+}
+
+// keep stores a beat unless a newer one of the same run was heard.
+func (g *Gossip) keep(b Beat) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	old, ok := g.peers[b.Name]
+	if ok && (old.Run > b.Run || old.Run == b.Run && old.Sequence >= b.Sequence) {
+		return false
+	}
+	g.peers[b.Name] = Peer{Beat: b, At: g.timer.Boot()}
+	return true
+}
+
+// Peer returns the newest beat of an instance.
+func (g *Gossip) Peer(name string) (Peer, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p, ok := g.peers[name]
+	return p, ok
+}
+
+// Live returns the peers that were heard within the last second.
+func (g *Gossip) Live(now time.Duration) []Peer {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var out []Peer
+	for _, p := range g.peers {
+		if now-p.At < silentAfter {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// Silent returns the peers that were heard once and are silent, and forgets
+// those that are silent for long.
+func (g *Gossip) Silent(now, forget time.Duration) []Peer {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var out []Peer
+	for n, p := range g.peers {
+		if now-p.At < silentAfter {
+			continue
+		}
+		out = append(out, p)
+		if now-p.At > forget {
+			delete(g.peers, n)
+		}
+	}
+	return out
+}
+
+func encode(b Beat) ([]byte, error) {
+	return mesh.Marshal(b.message())
+}
+
+func decode(data []byte) (Beat, error) {
+	var m beatMessage
+	if err := mesh.Unmarshal(data, &m); err != nil {
+		return Beat{}, err
+	}
+	return m.beat(), nil
+}
+
+// Leased notes the version of an instance's lease as the store has it. An
+// instance that was not heard since counts as heard at the instant given.
+func (g *Gossip) Leased(name string, v mirror.Version, now time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p, ok := g.peers[name]
+	if ok && p.Lease == v {
+		return
+	}
+	p.Name, p.Lease = name, v
+	p.Surrendered = false
+	p.At = now - silentAfter
+	g.peers[name] = p
+}
--- /dev/null
+++ b/coordination/orders/orders.go
@@ -0,0 +1,289 @@
+package orders
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"gentiangauge.example/gentiangauge/coordination/ownership"
+	"gentiangauge.example/gentiangauge/state/pool"
+	"gentiangauge.example/gentiangauge/state/route"
+	"gentiangauge.example/gentiangauge/timer"
+	"gentiangauge.example/gentiangauge/worker"
+)
+
+// Errors of Load.
+var (
+	// ErrFull says that every adapter on the engine is in use.
+	ErrFull = eris.New("every adapter on the engine is in use")
+	// ErrUnsure says that the state of the engine is not known at the moment.
+	ErrUnsure = eris.New("the state of the engine is not known")
+)
+
+const (
+	orderTime  = 300 * time.Millisecond
+	reportTime = 400 * time.Millisecond
+	// queueLength bounds the requests that wait for the worker of an engine.
+	queueLength = 64
+	tick        = 300 * time.Millisecond
+	// modelRetry is the pause before a base model is ordered again.
+	modelRetry = 6 * time.Second
+)
+
+// Services are the parts that the orders work with.
+type Services struct {
+	Engines   *Engines
+	Timer     *timer.Service
+	Pool      *pool.Pool
+	Ownership *ownership.Ownership
+	Log       *zap.Logger
+	Timing    Timing
+	// Engine returns what the configuration says of a service's engines.
+	Engine func(s route.ServiceName) (*route.Engine, bool)
+	// Loading returns the adapter loads that other owners have under way.
+	Loading func() int
+}
+
+// Orders gives orders to the engines that this instance owns.
+type Orders struct {
+	Services
+	life    context.Context
+	mu      sync.Mutex
+	workers map[pool.ID]*worker.Worker[engine]
+	loading map[pool.ID]int
+}
+
+// New returns the orders of an instance, whose workers end with c.
+func New(c context.Context, s Services) *Orders {
+	s.Log = s.Log.Named("orders")
+	return &Orders{Services: s, life: c, workers: map[pool.ID]*worker.Worker[engine]{}, loading: map[pool.ID]int{}}
+}
+
+func (o *Orders) worker(id pool.ID) *worker.Worker[engine] {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	w, ok := o.workers[id]
+	if !ok {
+		w = worker.Start(o.life, queueLength, &engine{places: map[pool.Adapter]*place{}, recent: map[pool.Adapter]time.Duration{}})
+		o.workers[id] = w
+	}
+	return w
+}
+
+// Load has an engine load an adapter and returns the time until it is ready.
+// It fails with ownership.ErrNotOwner, ErrFull or ErrUnsure.
+func (o *Orders) Load(c context.Context, id pool.ID, a pool.Adapter, v route.Version) (time.Duration, error) {
+	var ready time.Duration
+	var err error
+	if x := o.worker(id).Do(c, func(e *engine) { ready, err = o.load(c, e, id, a, v) }); x != nil {
+		return 0, eris.Wrap(ErrUnsure, x.Error())
+	}
+	return ready, err
+}
+
+func (o *Orders) load(c context.Context, e *engine, id pool.ID, a pool.Adapter, v route.Version) (time.Duration, error) {
+	if err := o.sync(c, e, id); err != nil {
+		return 0, err
+	}
+	n, ok := o.Engine(e.upstream.Service)
+	if !ok {
+		return 0, ownership.ErrNotOwner
+	}
+	now := o.Timer.Boot()
+	inUse := func(x pool.Adapter) int { return o.Pool.InUse(id, x) }
+	d, x := e.plan(a, v, n.AdapterSlots, inUse, now)
+	switch d {
+	case full:
+		return 0, ErrFull
+	case evict:
+		if err := o.unload(c, e, x); err != nil {
+			return 0, err
+		}
+	case present:
+		p := e.places[a]
+		p.used(max(now, p.readyAt), 1)
+		return max(0, p.readyAt-now), nil
+	}
+	return o.order(c, e, a, v)
+}
+
+// sync reads the state of an engine when this instance has just become its
+// owner, the engine started anew, or an order was left without an answer.
+func (o *Orders) sync(c context.Context, e *engine, id pool.ID) error {
+	now := o.Timer.Boot()
+	t, err := o.Ownership.Token(id, now)
+	if err != nil {
+		e.synced = false
+		return err
+	}
+	u, ok := o.Pool.Get(id, now)
+	if !ok || u.Draining {
+		return ErrUnsure
+	}
+	if u.Born != e.upstream.Born {
+		e.places, e.recent, e.modelAt = map[pool.Adapter]*place{}, map[pool.Adapter]time.Duration{}, 0
+		e.synced = false
+	}
+	e.upstream = u
+	if e.synced && e.token == t {
+		return nil
+	}
+	x, cancel := context.WithTimeout(c, reportTime)
+	defer cancel()
+	r, err := o.Engines.Report(x, u)
+	if err != nil {
+		return eris.Wrap(ErrUnsure, err.Error())
+	}
+	e.token, e.sequence, e.synced = t, r.Sequence, true
+	e.merge(r, now, o.Timing.Cold)
+	o.publish(e, id)
+	return nil
+}
+
+// merge takes over what an engine reports.
+func (e *engine) merge(r Report, now, cold time.Duration) {
+	places := map[pool.Adapter]*place{}
+	add := func(a pool.Adapter, v route.Version, readyAt time.Duration) {
+		p, ok := e.places[a]
+		if !ok {
+			p = &place{lastUse: now, scoreAt: now}
+		}
+		p.version, p.readyAt = v, readyAt
+		places[a] = p
+	}
+	for a, v := range r.Adapters {
+		add(a, v, 0)
+	}
+	for a, v := range r.Coming {
+		add(a, v, now+cold)
+	}
+	e.places = places
+}
+
+// send gives an order under the token that is valid at this instant.
+func (o *Orders) send(c context.Context, e *engine, q Order) (Answer, error) {
+	t, err := o.Ownership.Token(e.upstream.ID, o.Timer.Boot())
+	if err != nil || t != e.token {
+		e.synced = false
+		return 0, ownership.ErrNotOwner
+	}
+	q.Upstream, q.Sequence, q.Token = e.upstream, e.sequence, t
+	x, cancel := context.WithTimeout(context.WithoutCancel(c), orderTime)
+	defer cancel()
+	a, err := o.Engines.Order(x, q)
+	if err != nil {
+		e.synced = false
+		o.logOrder(q, "no answer", err)
+		return 0, eris.Wrap(ErrUnsure, err.Error())
+	}
+	o.logOrder(q, a.String(), nil)
+	switch a {
+	case Accepted:
+		e.sequence++
+	case Holds:
+	case Fenced:
+		o.Ownership.Fenced(e.upstream.ID)
+		e.synced = false
+		return a, ownership.ErrNotOwner
+	default:
+		e.synced = false
+		return a, ErrUnsure
+	}
+	return a, nil
+}
+
+func (o *Orders) logOrder(q Order, outcome string, err error) {
+	o.Log.Info("order", zap.String("upstream", string(q.Upstream.ID)), zap.Bool("unload", q.Unload),
+		zap.String("model", string(q.Adapter.Model)), zap.String("adapter", string(q.Adapter.Name)), zap.Int64("version", int64(q.Version)),
+		zap.Int64("sequence", q.Sequence), zap.Int64("token", int64(q.Token)), zap.String("outcome", outcome), zap.Error(err))
+}
+
+func (o *Orders) unload(c context.Context, e *engine, a pool.Adapter) error {
+	p := e.places[a]
+	delete(e.places, a)
+	o.publish(e, e.upstream.ID)
+	r, err := o.send(c, e, Order{Unload: true, Adapter: a})
+	if err != nil {
+		return err
+	}
+	if r == Accepted {
+		// A request took the adapter meanwhile; its place stays taken until
+		// the engine reports otherwise.
+		e.places[a] = p
+		e.synced = false
+		return ErrFull
+	}
+	e.sequence++
+	e.remember(a, o.Timer.Boot())
+	return nil
+}
+
+func (o *Orders) order(c context.Context, e *engine, a pool.Adapter, v route.Version) (time.Duration, error) {
+	r, err := o.send(c, e, Order{Adapter: a, Version: v})
+	if err != nil {
+		return 0, err
+	}
+	now := o.Timer.Boot()
+	ready := now
+	if r == Accepted {
+		ready += o.estimate(e, a)
+	} else {
+		e.synced = false
+	}
+	p := &place{version: v, readyAt: ready, scoreAt: now}
+	p.used(ready, 1)
+	if old, ok := e.places[a]; ok {
+		p.score = old.score
+	}
+	e.places[a] = p
+	delete(e.recent, a)
+	o.publish(e, e.upstream.ID)
+	return ready - now, nil
+}
+
+// estimate returns the time that a load takes with those that are under way.
+func (o *Orders) estimate(e *engine, a pool.Adapter) time.Duration {
+	if _, ok := e.recent[a]; ok {
+		return o.Timing.Warm
+	}
+	d := o.Timing.Cold
+	if n := o.Loading() + o.Own(); n >= o.Timing.Parallel {
+		d = d * time.Duration(n+1) / time.Duration(o.Timing.Parallel)
+	}
+	return d
+}
+
+// publish makes the places known to the choice of upstreams.
+func (o *Orders) publish(e *engine, id pool.ID) {
+	held := make(map[pool.Adapter]pool.Held, len(e.places))
+	now, n := o.Timer.Boot(), 0
+	for a, p := range e.places {
+		held[a] = pool.Held{Version: p.version, ReadyAt: p.readyAt}
+		if p.readyAt > now {
+			n++
+		}
+	}
+	o.Pool.SetHeld(id, held)
+	o.mu.Lock()
+	o.loading[id] = n
+	o.mu.Unlock()
+}
+
+// Own returns the adapter loads that this instance has under way.
+func (o *Orders) Own() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	n := 0
+	for _, x := range o.loading {
+		n += x
+	}
+	return n
+}
+
+// Lost notes that an engine does not hold an adapter that it was said to hold.
+func (o *Orders) Lost(id pool.ID) {
+	o.worker(id).Tell(func(e *engine) { e.synced = false })
+}
--- /dev/null
+++ b/coordination/orders/plan.go
@@ -0,0 +1,136 @@
+package orders
+
+import (
+	"time"
+
+	"gentiangauge.example/gentiangauge/coordination/ownership"
+	"gentiangauge.example/gentiangauge/state/pool"
+	"gentiangauge.example/gentiangauge/state/route"
+)
+
+// place is an adapter on an engine, as its owner knows it.
+type place struct {
+	version route.Version
+	readyAt time.Duration
+	// lastUse is the last instant at which a request used or asked for it.
+	lastUse time.Duration
+	// score counts recent uses; it halves every scoreHalf.
+	score   float64
+	scoreAt time.Duration
+}
+
+const (
+	scoreHalf = 4 * time.Second
+	// keep is the time after the last use in which an adapter is not evicted,
+	// because a request for it may be on its way.
+	keep = 350 * time.Millisecond
+	// maxComing is the number of adapters that an engine loads at once.
+	maxComing = 4
+	// maxRecent is the number of adapters that an engine keeps in memory after
+	// they were unloaded.
+	maxRecent = 30
+)
+
+func (p *place) used(now time.Duration, n float64) {
+	p.lastUse = max(p.lastUse, now)
+	p.decay(now)
+	p.score += n
+}
+
+func (p *place) decay(now time.Duration) {
+	for now-p.scoreAt >= scoreHalf {
+		p.score /= 2
+		p.scoreAt += scoreHalf
+		if p.score < 0.01 {
+			p.scoreAt = now
+		}
+	}
+}
+
+// engine is what the owner knows of one engine.
+type engine struct {
+	upstream pool.Upstream
+	token    ownership.Token
+	// synced is set when sequence and places were read under the token and no
+	// order was left without an answer since.
+	synced   bool
+	sequence int64
+	places   map[pool.Adapter]*place
+	recent   map[pool.Adapter]time.Duration
+	// modelAt is when the base model was ordered last.
+	modelAt time.Duration
+}
+
+// verdict is what has to be done for an adapter.
+type verdict int
+
+const (
+	present verdict = iota // nothing; it is there or coming
+	load                   // load it
+	evict                  // unload the victim and load it
+	full                   // nothing can be done now
+)
+
+// plan decides what to do for an adapter. InUse returns the requests that use
+// an adapter on the engine.
+//
+// Load pattern: more adapters are asked for than fit, and requests for those
+// in place are on their way.
+func (e *engine) plan(a pool.Adapter, v route.Version, slots int, inUse func(pool.Adapter) int, now time.Duration) (verdict, pool.Adapter) {
+	coming := 0
+	for _, p := range e.places {
+		if p.readyAt > now {
+			coming++
+		}
+	}
+	if p, ok := e.places[a]; ok {
+		switch {
+		case p.version >= v:
+			return present, a
+		case inUse(a) > 0 || coming >= maxComing:
+			return full, a
+		default:
+			return load, a
+		}
+	}
+	if coming >= maxComing {
+		return full, a
+	}
+	if len(e.places) < slots {
+		return load, a
+	}
+	if x, ok := e.victim(inUse, now); ok {
+		return evict, x
+	}
+	return full, a
+}
+
+// victim returns the adapter to evict: idle, and least asked for lately.
+func (e *engine) victim(inUse func(pool.Adapter) int, now time.Duration) (pool.Adapter, bool) {
+	var worst pool.Adapter
+	found := false
+	for a, p := range e.places {
+		if p.readyAt > now || now-p.lastUse < keep || inUse(a) > 0 {
+			continue
+		}
+		p.decay(now)
+		if w := e.places[worst]; !found || p.score < w.score || p.score == w.score && p.lastUse < w.lastUse {
+			worst, found = a, true
+		}
+	}
+	return worst, found
+}
+
+func (e *engine) remember(a pool.Adapter, now time.Duration) {
+	e.recent[a] = now
+	if len(e.recent) <= maxRecent {
+		return
+	}
+	oldest := a
+	for x, t := range e.recent {
+		if t < e.recent[oldest] {
+			oldest = x
+		}
+	}
+	delete(e.recent, oldest)
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,275 @@
+// Package entry puts the parts of an entry instance together that runs on a
+// platform with a transactional store.
+//
+// The platform's own names stay with its adapter, which fills Adapter.
+package entry
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"gentiangauge.example/gentiangauge/coordination/feed"
+	"gentiangauge.example/gentiangauge/coordination/gossip"
+	"gentiangauge.example/gentiangauge/coordination/orders"
+	"gentiangauge.example/gentiangauge/coordination/ownership"
+	"gentiangauge.example/gentiangauge/protocol/dispatch"
+	"gentiangauge.example/gentiangauge/state/mirror"
+	"gentiangauge.example/gentiangauge/state/pool"
+	"gentiangauge.example/gentiangauge/state/route"
+	"gentiangauge.example/gentiangauge/state/timeline"
+	"gentiangauge.example/gentiangauge/timer"
+	"gentiangauge.example/gentiangauge/transport/mesh"
+	"gentiangauge.example/gentiangauge/transport/store"
+)
+
+// timelineEvents is the number of events that an instance keeps.
+const timelineEvents = 256
+
+// Tables are the tables that the platform and the operators write.
+type Tables struct {
+	// Configuration holds the row ConfigurationKey with the newest
+	// configuration, and rows with VersionPrefix for adapters.
+	Configuration    string
+	ConfigurationKey string
+	VersionPrefix    string
+	// Upstreams holds a row for each upstream, by its id.
+	Upstreams string
+}
+
+// AdapterVersion is a new version of an adapter.
+type AdapterVersion struct {
+	Adapter pool.Adapter
+	Version route.Version
+}
+
+// Adapter is what the adapter of a platform fills in.
+type Adapter struct {
+	Tables  Tables
+	Store   *store.Store
+	Engines *orders.Engines
+	// Send sends a request to an upstream, as dispatch.Services.Send.
+	Send func(c context.Context, s dispatch.Send) (*dispatch.Answer, error)
+	// The functions that decode rows fail with a text that names the place.
+	DecodeConfiguration  func(value []byte) (route.Config, error)
+	DecodeAdapterVersion func(value []byte) (AdapterVersion, error)
+	DecodeUpstream       func(id string, value []byte) (pool.Upstream, error)
+}
+
+// Config is what an instance is told at its start.
+type Config struct {
+	Name string
+	Zone string
+	// FrontAddress is where callers connect, PeerAddress where other
+	// instances do, by TCP and UDP.
+	FrontAddress string
+	PeerAddress  string
+	Timing       orders.Timing
+	Dispatch     dispatch.Settings
+	// VersionGrace is the time in which the version before a new one may run.
+	VersionGrace time.Duration
+}
+
+// Entry is an entry instance.
+type Entry struct {
+	Config
+	Adapter
+	Dispatcher *dispatch.Dispatcher
+
+	timer     *timer.Service
+	log       *zap.Logger
+	run       int64
+	began     time.Duration
+	table     atomic.Pointer[route.Table]
+	pool      *pool.Pool
+	feeds     map[string]*feed.Feed
+	gossip    *gossip.Gossip
+	ownership *ownership.Ownership
+	orders    *orders.Orders
+	mesh      *mesh.Mesh
+	quota     *quota
+	versions  versions
+	members   members
+	leaving   atomic.Bool
+	life      context.Context
+	conn      net.PacketConn
+	behind    map[string]int
+}
+
+// New returns an instance that is not started. It fails when the peer address
+// is taken.
+func New(c context.Context, k Config, a Adapter, t *timer.Service, r prometheus.Registerer, log *zap.Logger) (*Entry, error) {
+	conn, err := net.ListenPacket("udp", k.PeerAddress)
+	if err != nil {
+		return nil, eris.Wrap(err, "listen for beats")
+	}
+	e := &Entry{
+		Config: k, Adapter: a, timer: t, log: log.Named("entry"), run: time.Duration(t.Now().UnixNano()).Milliseconds(), began: t.Boot(),
+		pool: pool.New(), feeds: map[string]*feed.Feed{}, life: c, conn: conn, behind: map[string]int{},
+		quota: newQuota(), versions: versions{known: map[pool.Adapter]versionState{}}, members: members{known: map[string]member{}},
+	}
+	recorder := timeline.New(k.Name, timelineEvents, t.Now)
+	e.mesh = mesh.New(k.PeerAddress, mesh.Clock{Tick: recorder.Tick, Observe: recorder.Observe})
+	e.gossip = gossip.New(k.Name, conn, t, log)
+	e.gossip.Compose, e.gossip.Heard, e.gossip.Addresses = e.compose, e.heard, e.members.addresses
+	e.newFeeds(log)
+	e.newDuties(r, log)
+	e.handle()
+	return e, nil
+}
+
+func (e *Entry) newFeeds(log *zap.Logger) {
+	for table, changed := range map[string]func([]mirror.Row){
+		e.Tables.Configuration: e.configurationChanged,
+		e.Tables.Upstreams:     e.upstreamsChanged,
+		ownership.FleetTable:   e.fleetChanged,
+	} {
+		e.feeds[table] = feed.New(table, e.Store, e.timer, log, changed)
+	}
+}
+
+func (e *Entry) newDuties(r prometheus.Registerer, log *zap.Logger) {
+	e.ownership = ownership.New(e.Name, e.run, ownership.Services{
+		Store: e.Store, Timer: e.timer, Gossip: e.gossip, Pool: e.pool, Log: log,
+		Wanted: func(u pool.Upstream) bool { _, ok := e.engine(u.Service); return ok && !u.Draining },
+	})
+	e.orders = orders.New(e.life, orders.Services{
+		Engines: e.Engines, Timer: e.timer, Pool: e.pool, Ownership: e.ownership, Log: log, Timing: e.Timing,
+		Engine: e.engine, Loading: e.loading,
+	})
+	e.Dispatcher = dispatch.New(e.Config.Dispatch, dispatch.Services{
+		Timer: e.timer, Pool: e.pool, Log: log, Table: e.table.Load, Versions: e.adapterVersions,
+		Take:   func(w *route.Workspace, n float64) (time.Duration, bool) { return e.quota.take(w, n, e.timer.Boot()) },
+		Return: func(w *route.Workspace, n float64) { e.quota.giveBack(w, n, e.timer.Boot()) },
+		Load:   e.load, Lost: e.lost, Send: e.Send, Draw: rand.Float64,
+		Peers:   func() int { return len(e.gossip.Live(e.timer.Boot())) },
+		Metrics: dispatch.NewMetrics(r),
+	})
+}
+
+// Run takes part in the fleet until c ends.
+func (e *Entry) Run(c context.Context) error {
+	l, err := net.Listen("tcp", e.PeerAddress)
+	if err != nil {
+		return eris.Wrap(err, "listen for peers")
+	}
+	failed := make(chan error, 1)
+	go func() { failed <- e.mesh.Serve(c, l) }()
+	for _, f := range e.feeds {
+		go f.Run(c)
+	}
+	go e.gossip.Run(c)
+	go e.ownership.Run(c)
+	go e.orders.Run(c)
+	go e.timer.Subscribe(c, houseInterval, func(time.Time) { e.keepHouse(c) })
+	e.join(c)
+	select {
+	case err := <-failed:
+		return err
+	case <-c.Done():
+		return nil
+	}
+}
+
+// Ready reports whether the instance can serve callers.
+func (e *Entry) Ready() bool {
+	return !e.leaving.Load() && e.table.Load() != nil && e.feeds[e.Tables.Upstreams].Mirror.Loaded()
+}
+
+// Leaving reports whether the instance is about to stop.
+func (e *Entry) Leaving() bool {
+	return e.leaving.Load()
+}
+
+// Limits returns what callers may send, and false before the first
+// configuration.
+func (e *Entry) Limits() (route.Limits, bool) {
+	t := e.table.Load()
+	if t == nil {
+		return route.Limits{}, false
+	}
+	return t.Limits, true
+}
+
+// Leave stops all orders of this instance and tells the others that it takes
+// no new callers.
+func (e *Entry) Leave() {
+	e.leaving.Store(true)
+	e.ownership.Leave()
+	e.gossip.Send()
+}
+
+// Addresses returns the front addresses of the instances that callers may
+// use.
+func (e *Entry) Addresses() []string {
+	now := e.timer.Boot()
+	var out []string
+	if e.Ready() {
+		out = append(out, e.FrontAddress)
+	}
+	for _, p := range e.gossip.Live(now) {
+		if m, ok := e.members.get(p.Name); ok && p.Serving {
+			out = append(out, m.front)
+		}
+	}
+	return out
+}
+
+func (e *Entry) engine(s route.ServiceName) (*route.Engine, bool) {
+	t := e.table.Load()
+	if t == nil {
+		return nil, false
+	}
+	x, ok := t.Service(s)
+	if !ok || x.Engine == nil {
+		return nil, false
+	}
+	return x.Engine, true
+}
+
+func (e *Entry) loading() int {
+	n := 0
+	for _, p := range e.gossip.Live(e.timer.Boot()) {
+		n += p.Loading
+	}
+	return n
+}
+
+// load has the owner of an engine load an adapter.
+func (e *Entry) load(c context.Context, id pool.ID, a pool.Adapter, v route.Version) (time.Duration, error) {
+	owner, ok := e.ownership.Owner(id)
+	if !ok {
+		return 0, ownership.ErrNotOwner
+	}
+	if owner == e.Name {
+		return e.orders.Load(c, id, a, v)
+	}
+	m, ok := e.members.get(owner)
+	if !ok {
+		return 0, ownership.ErrNotOwner
+	}
+	x, cancel := context.WithTimeout(c, loadCallTime)
+	defer cancel()
+	q := &loadQuery{Upstream: string(id), Model: string(a.Model), Adapter: string(a.Name), Version: int64(v)}
+	r, err := mesh.Call[loadQuery, loadReply](x, e.mesh, m.peer.String(), loadMethod, q)
+	if err != nil {
+		if errors.Is(err, mesh.ErrUnreachable) && c.Err() == nil {
+			e.mesh.Disconnect(m.peer.String())
+		}
+		return 0, err
+	}
+	return time.Duration(r.ReadyInMs) * time.Millisecond, nil
+}
+
+func (e *Entry) lost(id pool.ID) {
+	if owner, ok := e.ownership.Owner(id); ok && owner == e.Name {
+		e.orders.Lost(id)
+	}
+}
--- /dev/null
+++ b/entry/fleet.go
@@ -0,0 +1,296 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"gentiangauge.example/gentiangauge/coordination/feed"
+	"gentiangauge.example/gentiangauge/coordination/gossip"
+	"gentiangauge.example/gentiangauge/coordination/ownership"
+	"gentiangauge.example/gentiangauge/state/mirror"
+	"gentiangauge.example/gentiangauge/state/pool"
+	"gentiangauge.example/gentiangauge/state/route"
+	"gentiangauge.example/gentiangauge/transport/mesh"
+	"gentiangauge.example/gentiangauge/transport/store"
+)
+
+const (
+	memberPrefix = "member."
+	loadMethod   = "orders/load"
+	rowsMethod   = "mirror/rows"
+	// loadCallTime bounds the wait for the owner of an engine: a report, an
+	// unload and a load.
+	loadCallTime = 900 * time.Millisecond
+	// rowsCallTime bounds the reading of rows from another instance.
+	rowsCallTime  = 800 * time.Millisecond
+	houseInterval = 250 * time.Millisecond
+	// forgetMember is the silence after which a member's row is removed.
+	forgetMember = 20 * time.Second
+	joinRetry    = 300 * time.Millisecond
+)
+
+type memberRow struct {
+	Front string `json:"front"`
+	Peer  string `json:"peer"`
+	Run   int64  `json:"run"`
+}
+
+// member is an instance of the fleet.
+type member struct {
+	front   string
+	peer    netip.AddrPort
+	version mirror.Version
+}
+
+// members are the other instances that the store names.
+type members struct {
+	mu    sync.Mutex
+	known map[string]member
+}
+
+func (m *members) get(name string) (member, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	x, ok := m.known[name]
+	return x, ok
+}
+
+func (m *members) set(name string, x member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.known[name] = x
+}
+
+func (m *members) remove(name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.known, name)
+}
+
+func (m *members) addresses() []netip.AddrPort {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make([]netip.AddrPort, 0, len(m.known))
+	for _, x := range m.known {
+		out = append(out, x.peer)
+	}
+	return out
+}
+
+// fleetChanged takes over rows of members and claims.
+func (e *Entry) fleetChanged(rows []mirror.Row) {
+	e.ownership.Changed(rows)
+	for _, r := range rows {
+		name, ok := strings.CutPrefix(r.Key, memberPrefix)
+		if !ok || name == e.Name {
+			continue
+		}
+		if r.Removed {
+			e.members.remove(name)
+			continue
+		}
+		var m memberRow
+		err := json.Unmarshal(r.Value, &m)
+		var peer netip.AddrPort
+		if err == nil {
+			peer, err = netip.ParseAddrPort(m.Peer)
+		}
+		if err != nil {
+			e.log.Error("member cannot be read", zap.String("key", r.Key), zap.Error(err))
+			continue
+		}
+		e.members.set(name, member{front: m.Front, peer: peer, version: r.Version})
+		e.log.Info("member", zap.String("name", name), zap.String("peer", m.Peer), zap.Int64("run", m.Run))
+	}
+}
+
+// join writes the row that names this instance, until it is written.
+func (e *Entry) join(c context.Context) {
+	value, err := json.Marshal(memberRow{Front: e.FrontAddress, Peer: e.PeerAddress, Run: e.run})
+	if err != nil {
+		e.log.Error("member cannot be encoded", zap.Error(err))
+		return
+	}
+	t := store.Transaction{Writes: []store.Write{{Key: store.Key{Table: ownership.FleetTable, Key: memberPrefix + e.Name}, Value: value}}}
+	for c.Err() == nil {
+		if _, err = e.Store.Transact(c, t); err == nil {
+			return
+		}
+		e.log.Warn("member is not written", zap.Error(err))
+		_ = e.timer.Wait(c, joinRetry)
+	}
+}
+
+// Resign removes the row that names this instance.
+func (e *Entry) Resign(c context.Context) {
+	t := store.Transaction{Removals: []store.Key{{Table: ownership.FleetTable, Key: memberPrefix + e.Name}}}
+	if _, err := e.Store.Transact(c, t); err != nil {
+		e.log.Warn("member is not removed", zap.Error(err))
+	}
+}
+
+// compose returns what this instance tells the others.
+func (e *Entry) compose() gossip.Beat {
+	now := e.timer.Boot()
+	lease, surrendered := e.ownership.Lease(now)
+	b := gossip.Beat{
+		Run: e.run, Serving: e.Ready(), Uptime: now - e.began, Lease: lease, Surrendered: surrendered,
+		Uses: e.pool.OwnUses(), Held: map[pool.ID]map[pool.Adapter]pool.Held{}, Loading: e.orders.Own(),
+		Versions: map[string]mirror.Version{},
+	}
+	b.Spent, b.Left = e.quota.report(now)
+	for t, f := range e.feeds {
+		b.Versions[t] = f.Mirror.Newest()
+	}
+	for _, id := range e.ownership.Owned(now) {
+		held := e.pool.Held(id)
+		for a, h := range held {
+			h.ReadyAt = max(0, h.ReadyAt-now)
+			held[a] = h
+		}
+		b.Held[id] = held
+	}
+	return b
+}
+
+// heard takes over what another instance tells.
+func (e *Entry) heard(b gossip.Beat) {
+	now := e.timer.Boot()
+	e.pool.SetPeer(b.Name, b.Uses)
+	e.quota.heard(b, now-e.began, now)
+	for id, held := range b.Held {
+		if owner, ok := e.ownership.Owner(id); !ok || owner != b.Name {
+			continue
+		}
+		for a, h := range held {
+			if h.ReadyAt > 0 {
+				h.ReadyAt += now
+			}
+			held[a] = h
+		}
+		e.pool.SetHeld(id, held)
+	}
+}
+
+// keepHouse forgets what is gone and reads what the store did not tell.
+func (e *Entry) keepHouse(c context.Context) {
+	now := e.timer.Boot()
+	e.pool.Sweep(now)
+	for _, p := range e.gossip.Silent(now, forgetMember) {
+		e.pool.SetPeer(p.Name, nil)
+		if m, ok := e.members.get(p.Name); ok && now-p.At > forgetMember {
+			e.expel(c, p.Name, m)
+		}
+	}
+	for t, f := range e.feeds {
+		e.catchUp(c, t, f)
+	}
+}
+
+func (e *Entry) expel(c context.Context, name string, m member) {
+	k := store.Key{Table: ownership.FleetTable, Key: memberPrefix + name}
+	_, err := e.Store.Transact(c, store.Transaction{Expected: map[store.Key]mirror.Version{k: m.version}, Removals: []store.Key{k}})
+	if err != nil {
+		e.log.Warn("silent member is not removed", zap.String("name", name), zap.Error(err))
+	}
+}
+
+// behindLimit is the number of looks in a row at which another instance knows
+// newer rows before they are asked for.
+const behindLimit = 2
+
+// catchUp asks another instance for rows that the store has not told yet.
+func (e *Entry) catchUp(c context.Context, table string, f *feed.Feed) {
+	mine := f.Mirror.Newest()
+	var best gossip.Peer
+	for _, p := range e.gossip.Live(e.timer.Boot()) {
+		if p.Versions[table] > max(mine, best.Versions[table]) {
+			best = p
+		}
+	}
+	if best.Name == "" {
+		e.behind[table] = 0
+		return
+	}
+	if e.behind[table]++; e.behind[table] < behindLimit {
+		return
+	}
+	m, ok := e.members.get(best.Name)
+	if !ok {
+		return
+	}
+	x, cancel := context.WithTimeout(c, rowsCallTime)
+	defer cancel()
+	r, err := mesh.Call[rowsQuery, rowsReply](x, e.mesh, m.peer.String(), rowsMethod, &rowsQuery{Table: table, After: int64(mine)})
+	if err != nil {
+		e.log.Warn("newer rows cannot be read", zap.String("table", table), zap.String("from", best.Name), zap.Error(err))
+		return
+	}
+	e.log.Info("newer rows read", zap.String("table", table), zap.String("from", best.Name), zap.Int("rows", len(r.Rows)),
+		zap.Int64("had", int64(mine)), zap.Int64("has", int64(best.Versions[table])))
+	f.Learn(r.mirrorRows())
+}
+
+type loadQuery struct {
+	mesh.Message
+	Upstream string `protobuf:"bytes,1,opt,name=upstream,proto3"`
+	Model    string `protobuf:"bytes,2,opt,name=model,proto3"`
+	Adapter  string `protobuf:"bytes,3,opt,name=adapter,proto3"`
+	Version  int64  `protobuf:"varint,4,opt,name=version,proto3"`
+}
+
+type loadReply struct {
+	mesh.Message
+	ReadyInMs int64 `protobuf:"varint,1,opt,name=ready_in_ms,proto3"`
+}
+
+type rowsQuery struct {
+	mesh.Message
+	Table string `protobuf:"bytes,1,opt,name=table,proto3"`
+	After int64  `protobuf:"varint,2,opt,name=after,proto3"`
+}
+
+type rowMessage struct {
+	mesh.Message
+	Key     string `protobuf:"bytes,1,opt,name=key,proto3"`
+	Value   []byte `protobuf:"bytes,2,opt,name=value,proto3"`
+	Version int64  `protobuf:"varint,3,opt,name=version,proto3"`
+	Removed bool   `protobuf:"varint,4,opt,name=removed,proto3"`
+}
+
+type rowsReply struct {
+	mesh.Message
+	Rows []*rowMessage `protobuf:"bytes,1,rep,name=rows,proto3"`
+}
+
+func (r *rowsReply) mirrorRows() []mirror.Row {
+	out := make([]mirror.Row, 0, len(r.Rows))
+	for _, x := range r.Rows {
+		out = append(out, mirror.Row{Key: x.Key, Value: x.Value, Version: mirror.Version(x.Version), Removed: x.Removed})
+	}
+	return out
+}
+
+// handle registers what other instances may call.
+func (e *Entry) handle() {
+	mesh.Handle(e.mesh, loadMethod, func(c context.Context, _ string, q *loadQuery) (*loadReply, error) {
+		a := pool.Adapter{Model: route.ModelName(q.Model), Name: route.AdapterName(q.Adapter)}
+		d, err := e.orders.Load(c, pool.ID(q.Upstream), a, route.Version(q.Version))
+		return &loadReply{ReadyInMs: d.Milliseconds()}, err
+	})
+	mesh.Handle(e.mesh, rowsMethod, func(_ context.Context, _ string, q *rowsQuery) (*rowsReply, error) {
+		r := &rowsReply{}
+		if f, ok := e.feeds[q.Table]; ok {
+			for _, x := range f.Mirror.Since(mirror.Version(q.After)) {
+				r.Rows = append(r.Rows, &rowMessage{Key: x.Key, Value: x.Value, Version: int64(x.Version), Removed: x.Removed})
+			}
+		}
+		return r, nil
+	})
+}
--- /dev/null
+++ b/entry/rows.go
@@ -0,0 +1,124 @@
+package entry
+
+import (
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"gentiangauge.example/gentiangauge/state/mirror"
+	"gentiangauge.example/gentiangauge/state/pool"
+	"gentiangauge.example/gentiangauge/state/route"
+)
+
+const (
+	// returnTime is how long after an outage of the store the rows of living
+	// upstreams may be missing, as the platform states it.
+	returnTime = 2 * time.Second
+	// steadyTime is how long the store has to be reachable before a missing
+	// row is believed at once: returnTime and the delay of a call.
+	steadyTime = returnTime + 300*time.Millisecond
+)
+
+// versionState is what is known of an adapter's versions.
+type versionState struct {
+	newest, previous route.Version
+	seen             time.Duration
+}
+
+type versions struct {
+	mu    sync.Mutex
+	known map[pool.Adapter]versionState
+}
+
+// configurationChanged takes over rows of the operators.
+func (e *Entry) configurationChanged(rows []mirror.Row) {
+	for _, r := range rows {
+		switch {
+		case r.Removed:
+			e.log.Warn("row of the operators is gone; it stays in force", zap.String("key", r.Key))
+		case r.Key == e.Tables.ConfigurationKey:
+			e.install(r)
+		case strings.HasPrefix(r.Key, e.Tables.VersionPrefix):
+			e.nameVersion(r)
+		}
+	}
+}
+
+func (e *Entry) install(r mirror.Row) {
+	k, err := e.DecodeConfiguration(r.Value)
+	if err != nil {
+		e.log.Error("configuration cannot be read; the last one stays in force", zap.String("row", r.Key), zap.Int64("row-version", int64(r.Version)), zap.Error(err))
+		return
+	}
+	if old := e.table.Load(); old != nil && old.Version >= k.Version {
+		return
+	}
+	t := route.New(k)
+	e.table.Store(t)
+	e.quota.setPlans(t, e.timer.Boot())
+	e.log.Info("configuration installed", zap.Int64("version", int64(k.Version)), zap.Int("routes", len(k.Routes)),
+		zap.Int("services", len(k.Services)), zap.Int("workspaces", len(k.Workspaces)))
+}
+
+func (e *Entry) nameVersion(r mirror.Row) {
+	x, err := e.DecodeAdapterVersion(r.Value)
+	if err != nil {
+		e.log.Error("adapter version cannot be read", zap.String("row", r.Key), zap.Error(err))
+		return
+	}
+	e.versions.mu.Lock()
+	defer e.versions.mu.Unlock()
+	s := e.versions.known[x.Adapter]
+	if x.Version <= s.newest {
+		return
+	}
+	e.versions.known[x.Adapter] = versionState{newest: x.Version, previous: s.newest, seen: e.timer.Boot()}
+	e.log.Info("adapter version named", zap.String("adapter", string(x.Adapter.Name)), zap.Int64("version", int64(x.Version)))
+}
+
+// adapterVersions returns the newest version of an adapter and the oldest one
+// that may still run. Both are 0 while no version was named.
+func (e *Entry) adapterVersions(a pool.Adapter, now time.Duration) (newest, oldest route.Version) {
+	e.versions.mu.Lock()
+	defer e.versions.mu.Unlock()
+	s := e.versions.known[a]
+	if now-s.seen < e.VersionGrace {
+		return s.newest, s.previous
+	}
+	return s.newest, s.newest
+}
+
+// upstreamsChanged takes over the platform's list of upstreams.
+func (e *Entry) upstreamsChanged(rows []mirror.Row) {
+	now := e.timer.Boot()
+	for _, r := range rows {
+		id := pool.ID(r.Key)
+		if r.Removed {
+			e.removeUpstream(id, now)
+			continue
+		}
+		u, err := e.DecodeUpstream(r.Key, r.Value)
+		if err != nil {
+			e.log.Warn("upstream cannot be read", zap.String("row", r.Key), zap.Error(err))
+			continue
+		}
+		if old, ok := e.pool.Get(id, now); !ok || old.Draining != u.Draining || old.Born != u.Born || old.Address != u.Address {
+			e.log.Info("upstream", zap.String("id", r.Key), zap.String("service", string(u.Service)), zap.String("address", u.Address),
+				zap.Bool("draining", u.Draining), zap.Int64("born", u.Born), zap.Int64("row-version", int64(r.Version)))
+		}
+		e.pool.Put(u)
+	}
+}
+
+// removeUpstream drops an upstream, at once while the store is reachable, and
+// otherwise after the time in which rows of living upstreams return.
+func (e *Entry) removeUpstream(id pool.ID, now time.Duration) {
+	at := now
+	if !e.feeds[e.Tables.Upstreams].Steady(now, steadyTime) {
+		at += returnTime
+	}
+	e.pool.Remove(id, at)
+	e.log.Info("upstream gone", zap.String("id", string(id)), zap.Duration("in", at-now))
+}
--- /dev/null
+++ b/protocol/dispatch/admit.go
@@ -0,0 +1,66 @@
+package dispatch
+
+import (
+	"net/http"
+	"time"
+
+	"gentiangauge.example/gentiangauge/refusal"
+	"gentiangauge.example/gentiangauge/state/pool"
+)
+
+const (
+	// shortRetry is when a caller may come back that no upstream had room for.
+	shortRetry = 250 * time.Millisecond
+	// startRetry is when a caller may come back to an instance that starts.
+	startRetry = 400 * time.Millisecond
+	// defaultPatience is assumed of callers that state no deadline.
+	defaultPatience = 30 * time.Second
+)
+
+// admit finds the route and the workspace of a request and takes its units.
+// The job is nil if there is no route.
+func (d *Dispatcher) admit(q *Request) (*job, error) {
+	t := d.Table()
+	if t == nil {
+		return nil, refusal.Later(refusal.StoreUnavailable, startRetry, "no configuration is known yet")
+	}
+	r, ok := t.Find(q.Host, q.Path)
+	if !ok {
+		return nil, refusal.New(refusal.RouteUnknown, http.StatusNotFound, "no route leads to %s", q.Path)
+	}
+	j := &job{Request: q, route: r, tokens: q.PromptTokens + q.OutputTokens, avoid: map[pool.ID]bool{}, lastEvent: q.ResumeAfter}
+	if q.Patience <= 0 {
+		q.Patience = defaultPatience
+	}
+	j.until = q.Arrived + q.Patience
+	if r.Timeout > 0 {
+		j.until = min(j.until, q.Arrived+r.Timeout)
+	}
+	if !r.Open {
+		if q.Key == "" {
+			return j, refusal.New(refusal.KeyMissing, http.StatusUnauthorized, "the request carries no key")
+		}
+		if j.workspace, ok = t.Holder(q.Key); !ok {
+			return j, refusal.New(refusal.KeyUnknown, http.StatusUnauthorized, "the key is not known")
+		}
+	}
+	if j.service, ok = t.Service(r.Pick(d.Draw())); !ok {
+		return j, refusal.Later(refusal.NoUpstream, shortRetry, "the route names a service that is not configured")
+	}
+	return j, d.takeUnits(j)
+}
+
+func (d *Dispatcher) takeUnits(j *job) error {
+	d.budget.earn(string(j.service.Name), d.Peers()+1)
+	if j.workspace == nil {
+		return nil
+	}
+	j.units = j.workspace.Cost(j.tokens)
+	wait, ok := d.Take(j.workspace, j.units)
+	if ok {
+		return nil
+	}
+	x := refusal.Later(refusal.OverRate, wait, "the workspace is over its rate")
+	x.Status = http.StatusTooManyRequests
+	return x
+}
--- /dev/null
+++ b/protocol/dispatch/attempt.go
@@ -0,0 +1,319 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"gentiangauge.example/gentiangauge/refusal"
+	"gentiangauge.example/gentiangauge/state/pool"
+	"gentiangauge.example/gentiangauge/transport/relay"
+)
+
+// ErrCut says that an answer was begun and cannot be finished.
+var ErrCut = eris.New("the answer was cut")
+
+// errNext says that another send may help.
+var errNext = eris.New("another upstream may answer")
+
+const (
+	// placeRetry is the pause before the next look for an upstream.
+	placeRetry = 40 * time.Millisecond
+	// maxSends bounds the sends of a request, with those that were rejected.
+	maxSends = 6
+	// reserve is the part of the remaining time that is kept for the answer.
+	reserve = 30 * time.Millisecond
+	// silentFactor is the number of latency objectives after which an upstream
+	// that gave no part of an answer counts as silent.
+	silentFactor = 1
+)
+
+// attempts sends the request to upstreams until one answers.
+func (d *Dispatcher) attempts(c context.Context, w http.ResponseWriter, j *job) error {
+	var last error
+	for {
+		h, err := d.place(c, j)
+		if err != nil {
+			return d.final(c, j, last, err)
+		}
+		j.choice = h
+		err = d.send(c, w, j)
+		if err == nil || errors.Is(err, ErrCut) {
+			return err
+		}
+		last = err
+		if !d.again(c, j, err) {
+			return d.final(c, j, last, err)
+		}
+	}
+}
+
+// again reports whether the request may be sent once more, and takes that
+// from the retry budget.
+func (d *Dispatcher) again(c context.Context, j *job, err error) bool {
+	if !errors.Is(err, errNext) || c.Err() != nil || j.sends >= maxSends {
+		return false
+	}
+	if j.runs > 0 && (!j.route.Repeatable() || j.runs >= max(1, j.route.MaxAttempts)) {
+		return false
+	}
+	return d.budget.spend(string(j.service.Name))
+}
+
+// final returns what the caller gets when no upstream answered.
+func (d *Dispatcher) final(c context.Context, j *job, last, err error) error {
+	if j.first {
+		return ErrCut
+	}
+	var r *refusal.Refusal
+	if j.runs == 0 && errors.As(err, &r) {
+		return r
+	}
+	if j.runs == 0 && d.Timer.Boot() < j.until && c.Err() == nil {
+		return refusal.Later(refusal.Overloaded, shortRetry, "no upstream took the request: %v", last)
+	}
+	status, text := http.StatusBadGateway, "the upstream broke off"
+	if d.Timer.Boot() >= j.until {
+		status, text = http.StatusGatewayTimeout, "the request took too long"
+	}
+	x := refusal.New(refusal.UpstreamFailed, status, "%s", text)
+	if j.runs > 0 {
+		return x.WithRun(refusal.Unknown)
+	}
+	return x
+}
+
+// place chooses an upstream and has the adapter loaded if it must be. It
+// looks again while the caller can still be answered.
+func (d *Dispatcher) place(c context.Context, j *job) (pool.Choice, error) {
+	tried := map[pool.ID]bool{}
+	for {
+		now := d.Timer.Boot()
+		if c.Err() != nil || now >= j.until-reserve {
+			return pool.Choice{}, refusal.Later(refusal.Overloaded, shortRetry, "no upstream had room in time")
+		}
+		h, ok := d.Pool.Choose(d.ask(j, tried, now), now)
+		if !ok {
+			if len(tried) == 0 && len(j.avoid) == 0 && d.empty(j) {
+				return h, refusal.Later(refusal.NoUpstream, shortRetry, "no upstream of the service is known")
+			}
+			clear(tried)
+			clear(j.avoid)
+			if err := d.Timer.Wait(c, placeRetry); err != nil {
+				continue
+			}
+			continue
+		}
+		if late := d.tooLate(j, h, now); late != nil {
+			return h, late
+		}
+		if !h.Load {
+			return h, d.await(c, h.ReadyIn)
+		}
+		ready, err := d.Load(c, h.ID, j.Adapter, h.Version)
+		if err == nil {
+			return h, d.await(c, ready)
+		}
+		d.Log.Debug("load refused", zap.String("request", j.ID), zap.String("upstream", string(h.ID)), zap.Error(err))
+		tried[h.ID] = true
+	}
+}
+
+func (d *Dispatcher) empty(j *job) bool {
+	for _, u := range d.Pool.Upstreams(d.Timer.Boot()) {
+		if u.Service == j.service.Name && !u.Draining {
+			return false
+		}
+	}
+	return true
+}
+
+// tooLate refuses a request whose answer would begin after its time.
+func (d *Dispatcher) tooLate(j *job, h pool.Choice, now time.Duration) error {
+	if j.service.Engine == nil || j.runs > 0 {
+		return nil
+	}
+	begin := h.First + h.ReadyIn
+	if begin <= j.until-now || h.Room {
+		return nil
+	}
+	return refusal.Later(refusal.Overloaded, shortRetry, "the answer would begin after %v, the caller waits for %v", begin, j.until-now)
+}
+
+func (d *Dispatcher) await(c context.Context, t time.Duration) error {
+	if t <= 0 {
+		return nil
+	}
+	if err := d.Timer.Wait(c, t); err != nil {
+		return refusal.Later(refusal.Overloaded, shortRetry, "the adapter was not ready in time")
+	}
+	return nil
+}
+
+func (d *Dispatcher) ask(j *job, tried map[pool.ID]bool, now time.Duration) pool.Ask {
+	a := pool.Ask{
+		Service: j.service.Name, Adapter: j.Adapter, Prompt: j.PromptTokens, Output: j.OutputTokens,
+		Zone: d.settings.Zone, Avoid: map[pool.ID]bool{},
+	}
+	for id := range tried {
+		a.Avoid[id] = true
+	}
+	for id := range j.avoid {
+		a.Avoid[id] = true
+	}
+	if e := j.service.Engine; e != nil {
+		k := d.settings.Capacity
+		k.CacheTokens, k.AdapterSlots = e.CacheTokens, e.AdapterSlots
+		a.Engine = &k
+		a.Version, a.Oldest = d.Versions(j.Adapter, now)
+	}
+	return a
+}
+
+// send sends the request to the chosen upstream and passes its answer on.
+func (d *Dispatcher) send(c context.Context, w http.ResponseWriter, j *job) error {
+	id := j.choice.ID
+	u := pool.Use{Running: 1, Unread: j.PromptTokens, Tokens: j.tokens}
+	d.Pool.Begin(id, j.Adapter, u)
+	defer func() { d.Pool.End(id, j.Adapter, u) }()
+	x, cancel := context.WithCancel(c)
+	defer cancel()
+	answering := d.guard(x, j, cancel)
+	sent := d.Timer.Boot()
+	j.sends++
+	q := Send{
+		Request: j.Request, Upstream: j.choice.Upstream, Version: j.choice.Version, Left: j.until - sent,
+		Urgency: d.urgency(j), ResumeAfter: j.lastEvent, Once: !j.route.Repeatable(),
+	}
+	if j.workspace != nil {
+		q.Workspace = j.workspace.Name
+	}
+	a, err := d.Send(x, q)
+	if err != nil {
+		return d.broken(c, j, err)
+	}
+	defer a.Body.Close()
+	if err := d.judge(j, a); err != nil {
+		return err
+	}
+	read := func() {
+		d.Pool.End(id, j.Adapter, pool.Use{Unread: u.Unread})
+		u.Unread = 0
+	}
+	err = d.pass(c, w, j, a, func() {
+		answering()
+		read()
+		d.noteFirst(j, sent)
+	})
+	d.logSend(j, a, sent, err)
+	if err == nil {
+		d.Pool.Note(id, pool.Served, d.Timer.Boot())
+	}
+	return err
+}
+
+func (d *Dispatcher) urgency(j *job) int {
+	p := j.route.Priority
+	if j.workspace != nil && j.workspace.Ranked {
+		p = j.workspace.Priority
+	}
+	return min(max(p, 0), 9)
+}
+
+// guard cancels a send that gives no first part of an answer while another
+// upstream could still give one in time. The function that it returns ends
+// the guard.
+//
+// Load pattern: an upstream takes requests and stays silent.
+func (d *Dispatcher) guard(c context.Context, j *job, cancel context.CancelFunc) func() {
+	limit := j.route.Objective*silentFactor + 2*j.choice.First
+	if !j.route.Repeatable() || j.first || j.runs+1 >= j.route.MaxAttempts || j.until-d.Timer.Boot() < 2*limit {
+		return func() {}
+	}
+	n, stop := d.Timer.Notify(limit)
+	done := make(chan struct{})
+	go func() {
+		defer stop()
+		select {
+		case <-n:
+			d.Log.Info("upstream is silent", zap.String("request", j.ID), zap.String("upstream", string(j.choice.ID)), zap.Duration("limit", limit))
+			cancel()
+		case <-done:
+		case <-c.Done():
+		}
+	}()
+	return sync.OnceFunc(func() { close(done) })
+}
+
+// broken deals with a send that brought no answer.
+func (d *Dispatcher) broken(c context.Context, j *job, err error) error {
+	now := d.Timer.Boot()
+	if c.Err() != nil {
+		j.runs++
+		return eris.Wrap(context.Cause(c), "the caller left or its time ended")
+	}
+	j.avoid[j.choice.ID] = true
+	d.Pool.Note(j.choice.ID, pool.Unreachable, now)
+	d.Log.Info("send failed", zap.String("request", j.ID), zap.String("upstream", string(j.choice.ID)), zap.Error(err))
+	if errors.Is(err, relay.ErrNotSent) {
+		return eris.Wrap(errNext, "the upstream cannot be reached")
+	}
+	j.runs++
+	return eris.Wrap(errNext, "the upstream gave no answer")
+}
+
+// judge decides whether an answer may be passed on.
+func (d *Dispatcher) judge(j *job, a *Answer) error {
+	id, now := j.choice.ID, d.Timer.Boot()
+	switch {
+	case a.NotRun:
+		d.Log.Info("not run", zap.String("request", j.ID), zap.String("upstream", string(id)), zap.Int("status", a.Status),
+			zap.Bool("moved", a.Moved), zap.String("adapter", string(j.Adapter.Name)), zap.Int64("version", int64(j.choice.Version)))
+		if a.Moved {
+			d.Pool.Missing(id, j.Adapter)
+			d.Lost(id)
+		} else {
+			d.Pool.Note(id, pool.Busy, now)
+			j.avoid[id] = true
+		}
+		return eris.Wrapf(errNext, "the upstream did not run the request, status %d", a.Status)
+	case !a.Signed || !a.Matches:
+		j.runs++
+		j.avoid[id] = true
+		d.Pool.Note(id, pool.Failed, now)
+		d.Log.Warn("answer does not belong to the request", zap.String("request", j.ID), zap.String("upstream", string(id)),
+			zap.Int("status", a.Status), zap.Bool("signed", a.Signed), zap.Bool("matches", a.Matches))
+		return eris.Wrap(errNext, "the answer does not belong to the request")
+	}
+	j.runs++
+	if a.Status >= http.StatusInternalServerError {
+		d.Pool.Note(id, pool.Failed, now)
+		if j.route.Repeatable() && j.runs < j.route.MaxAttempts && !j.first {
+			j.avoid[id] = true
+			if d.budget.has(string(j.service.Name)) {
+				return eris.Wrapf(errNext, "the upstream failed, status %d", a.Status)
+			}
+		}
+	}
+	return nil
+}
+
+func (d *Dispatcher) noteFirst(j *job, sent time.Duration) {
+	took := d.Timer.Boot() - sent
+	if j.service.Engine != nil {
+		d.Pool.Paced(j.choice.ID, took, j.choice.First)
+	}
+	d.Metrics.first(j.route.Kind, took)
+}
+
+func (d *Dispatcher) logSend(j *job, a *Answer, sent time.Duration, err error) {
+	d.Log.Info("answered", zap.String("request", j.ID), zap.String("route", j.route.Name), zap.String("upstream", string(j.choice.ID)),
+		zap.Int("status", a.Status), zap.String("adapter", string(j.Adapter.Name)), zap.Int64("version", int64(j.choice.Version)),
+		zap.Duration("waited", sent-j.Arrived), zap.Duration("took", d.Timer.Boot()-sent), zap.Duration("predicted", j.choice.First),
+		zap.Int("busy", j.choice.Busy.Running), zap.Int("sends", j.sends), zap.Error(err))
+}
--- /dev/null
+++ b/protocol/dispatch/dispatch.go
@@ -0,0 +1,204 @@
+// Package dispatch takes a caller's request through the instance: it admits
+// the request, chooses an upstream, has its adapter loaded, sends it, and
+// passes the answer on.
+//
+// It knows no wire. A front door decodes requests and renders refusals; the
+// function fields of Services reach the upstreams.
+package dispatch
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"gentiangauge.example/gentiangauge/refusal"
+	"gentiangauge.example/gentiangauge/state/pool"
+	"gentiangauge.example/gentiangauge/state/route"
+	"gentiangauge.example/gentiangauge/timer"
+)
+
+// Request is a request of a caller. Its body is held whole.
+type Request struct {
+	ID     string
+	Method string
+	Host   string
+	// Path selects the route; Target is the path with its query.
+	Path   string
+	Target string
+	// Header are the end-to-end headers that upstreams may see.
+	Header http.Header
+	Body   []byte
+	// Key is the key that the caller presented, or empty.
+	Key     string
+	Adapter pool.Adapter
+	// PromptTokens and OutputTokens are 0 when the request states none.
+	PromptTokens int
+	OutputTokens int
+	// ResumeAfter is the id of the last event that the caller has.
+	ResumeAfter string
+	// Arrived is the instant of the request, Patience how long the caller
+	// waits from then, or 0.
+	Arrived  time.Duration
+	Patience time.Duration
+}
+
+// Send is a request on its way to an upstream.
+type Send struct {
+	*Request
+	Upstream  pool.Upstream
+	Workspace route.WorkspaceName
+	// Version is the version of the adapter that must run.
+	Version route.Version
+	// Left is the time that the upstream may take.
+	Left time.Duration
+	// Urgency is 0 for the most urgent requests.
+	Urgency int
+	// ResumeAfter is the id of the last event that was passed on.
+	ResumeAfter string
+	// Once is set for requests that must not run twice.
+	Once bool
+}
+
+// Answer is what an upstream answers.
+type Answer struct {
+	Status int
+	// Header are the end-to-end headers for the caller.
+	Header http.Header
+	Body   io.ReadCloser
+	// Signed is set when the answer bears an upstream's signature.
+	Signed bool
+	// Matches is set when the answer names the request.
+	Matches bool
+	// NotRun is set when the upstream states that it did not run the request,
+	// Moved when because another upstream or adapter is in its place.
+	NotRun bool
+	Moved  bool
+}
+
+// Services are the parts that a dispatcher works with.
+type Services struct {
+	Timer *timer.Service
+	Pool  *pool.Pool
+	Log   *zap.Logger
+	// Table returns the configuration in force, or nil before the first one.
+	Table func() *route.Table
+	// Versions returns the newest version of an adapter and the oldest one
+	// that may still run.
+	Versions func(a pool.Adapter, now time.Duration) (newest, oldest route.Version)
+	// Take takes units of a workspace's plan, or returns when to come back.
+	Take func(w *route.Workspace, units float64) (time.Duration, bool)
+	// Return gives units back.
+	Return func(w *route.Workspace, units float64)
+	// Load has the owner of an engine load an adapter, and returns the time
+	// until it is ready.
+	Load func(c context.Context, id pool.ID, a pool.Adapter, v route.Version) (time.Duration, error)
+	// Lost notes that an engine lacks an adapter that it was said to hold.
+	Lost func(id pool.ID)
+	// Send sends a request. It fails with relay.ErrNotSent or relay.ErrBroken.
+	Send func(c context.Context, s Send) (*Answer, error)
+	// Peers returns the number of other instances.
+	Peers func() int
+	// Draw returns a random number from 0 up to, not including, 1.
+	Draw func() float64
+	// Metrics count the outcomes.
+	Metrics *Metrics
+}
+
+// Settings are the limits and assumptions of a dispatcher.
+type Settings struct {
+	Zone string
+	// Capacity is the assumed speed of engines.
+	Capacity pool.Capacity
+	// RetryRatio is the share of requests that may be sent once more, and
+	// RetryBurst what the fleet may send beyond.
+	RetryRatio float64
+	RetryBurst float64
+}
+
+// Dispatcher serves requests.
+type Dispatcher struct {
+	Services
+	settings Settings
+	budget   *budget
+}
+
+// New returns a dispatcher.
+func New(s Settings, v Services) *Dispatcher {
+	v.Log = v.Log.Named("dispatch")
+	return &Dispatcher{Services: v, settings: s, budget: newBudget(s.RetryRatio, s.RetryBurst)}
+}
+
+// job is a request with what was decided about it.
+type job struct {
+	*Request
+	route     *route.Route
+	service   *route.Service
+	workspace *route.Workspace
+	// until is the instant at which the caller gets a final answer.
+	until  time.Duration
+	tokens int
+	units  float64
+	avoid  map[pool.ID]bool
+	// sends counts the sends, runs those that may have run.
+	sends, runs int
+	// first is set once an event or an answer has reached the caller.
+	first     bool
+	lastEvent string
+	choice    pool.Choice
+}
+
+// Serve answers a request. The error is the refusal to render, or ErrBroken
+// when a part of an answer was written that cannot be finished.
+func (d *Dispatcher) Serve(c context.Context, w http.ResponseWriter, q *Request) error {
+	j, err := d.admit(q)
+	if err != nil {
+		d.logRefusal(q, j, err)
+		return err
+	}
+	c, cancel := context.WithCancel(c)
+	defer cancel()
+	stop := d.expire(j, cancel)
+	defer stop()
+	err = d.attempts(c, w, j)
+	if j.runs == 0 && j.workspace != nil {
+		d.Return(j.workspace, j.units)
+	}
+	if err != nil {
+		d.logRefusal(q, j, err)
+	}
+	return err
+}
+
+// expire cancels a request at the end of its time.
+func (d *Dispatcher) expire(j *job, cancel context.CancelFunc) func() {
+	n, stop := d.Timer.Notify(max(0, j.until-d.Timer.Boot()))
+	done := make(chan struct{})
+	go func() {
+		select {
+		case <-n:
+			cancel()
+		case <-done:
+		}
+	}()
+	return func() { close(done); stop() }
+}
+
+func (d *Dispatcher) logRefusal(q *Request, j *job, err error) {
+	r := refusal.As(err)
+	f := []zap.Field{
+		zap.String("request", q.ID), zap.String("code", string(r.Code)), zap.Int("status", r.Status), zap.Stringer("run", r.Run),
+		zap.String("reason", r.Text), zap.Duration("age", d.Timer.Boot()-q.Arrived), zap.Duration("retry-after", r.RetryAfter),
+	}
+	if t := d.Table(); t != nil {
+		f = append(f, zap.Int64("configuration", int64(t.Version)))
+	}
+	if j != nil {
+		f = append(f, zap.String("route", j.route.Name), zap.Int("sends", j.sends), zap.Int("runs", j.runs),
+			zap.String("upstream", string(j.choice.ID)), zap.Duration("predicted", j.choice.First), zap.Int("busy", j.choice.Busy.Running))
+	}
+	d.Metrics.refused(r.Code)
+	d.Log.Info("refused", f...)
+}
--- /dev/null
+++ b/protocol/dispatch/metrics.go
@@ -0,0 +1,39 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"gentiangauge.example/gentiangauge/refusal"
+	"gentiangauge.example/gentiangauge/state/route"
+)
+
+// Metrics are the counters and histograms of a dispatcher.
+type Metrics struct {
+	refusals *prometheus.CounterVec
+	firsts   *prometheus.HistogramVec
+}
+
+// NewMetrics registers the metrics of a dispatcher.
+func NewMetrics(r prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "gentiangauge_dispatch_refusals_total", Help: "Requests that got no answer of an upstream, by code.",
+		}, []string{"code"}),
+		firsts: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "gentiangauge_dispatch_first_part_seconds", Help: "Time from sending a request to the first part of its answer.",
+			Buckets: prometheus.ExponentialBuckets(0.01, 2, 11),
+		}, []string{"kind"}),
+	}
+	r.MustRegister(m.refusals, m.firsts)
+	return m
+}
+
+func (m *Metrics) refused(c refusal.Code) {
+	m.refusals.WithLabelValues(string(c)).Inc()
+}
+
+func (m *Metrics) first(k route.Kind, d time.Duration) {
+	m.firsts.WithLabelValues(k.String()).Observe(d.Seconds())
+}
--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -3,6 +3,7 @@
 package refusal
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"time"
@@ -95,3 +96,13 @@
 func (r *Refusal) RetrySeconds() int64 {
 	return int64((r.RetryAfter + time.Second - 1) / time.Second)
 }
+
+// As returns the refusal that an error holds, or one that says that the
+// instance failed and that the request may have run.
+func As(err error) *Refusal {
+	var r *Refusal
+	if errors.As(err, &r) {
+		return r
+	}
+	return New(UpstreamFailed, http.StatusInternalServerError, "internal error: %v", err).WithRun(Unknown)
+}
--- /dev/null
+++ b/state/pool/pool.go
@@ -0,0 +1,277 @@
+// Package pool holds what an instance knows of the upstreams, and chooses
+// the one that a request goes to.
+package pool
+
+import (
+	"sync"
+	"time"
+
+	"gentiangauge.example/gentiangauge/state/route"
+)
+
+// ID names one upstream. It stays the same over restarts of some upstreams.
+type ID string
+
+// Adapter is an adapter of a base model. An empty name is the model alone.
+type Adapter struct {
+	Model route.ModelName
+	Name  route.AdapterName
+}
+
+// Held is an adapter on an upstream.
+type Held struct {
+	Version route.Version
+	// ReadyAt is the instant at which the load ends.
+	ReadyAt time.Duration
+}
+
+// Upstream is what the platform's list says of an upstream.
+type Upstream struct {
+	ID      ID
+	Service route.ServiceName
+	Address string
+	Zone    string
+	// Born is the start of the upstream's process in Unix milliseconds.
+	Born  int64
+	Slots int
+	// Draining upstreams take no new requests.
+	Draining bool
+	// Models are the base models in place.
+	Models map[route.ModelName]route.Version
+	// Adapters are those that the list names, with a lag.
+	Adapters map[Adapter]route.Version
+}
+
+// Use is the work that an instance has on an upstream for one adapter.
+type Use struct {
+	Running int
+	// Unread are the prompt tokens of requests without a first event.
+	Unread int
+	// Tokens are the prompt and output tokens of all running requests.
+	Tokens int
+}
+
+func (u *Use) add(o Use, sign int) {
+	u.Running += sign * o.Running
+	u.Unread += sign * o.Unread
+	u.Tokens += sign * o.Tokens
+}
+
+// entry is an upstream with what this instance and its peers observe.
+type entry struct {
+	Upstream
+	// goneAt is the instant from which the upstream is no longer used, or 0.
+	goneAt time.Duration
+	held   map[Adapter]Held
+	own    map[Adapter]*Use
+	peers  map[string]map[Adapter]Use
+	health health
+	// pace is the measured time to the first event over the predicted one.
+	pace float64
+}
+
+// Pool is the set of known upstreams. It is safe for concurrent use. All
+// instants are those of timer.Service.Boot.
+type Pool struct {
+	mu      sync.Mutex
+	entries map[ID]*entry
+}
+
+// New returns an empty pool.
+func New() *Pool {
+	return &Pool{entries: map[ID]*entry{}}
+}
+
+// Put adds or updates an upstream. A new start of its process clears what was
+// known of it.
+func (p *Pool) Put(u Upstream) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e, ok := p.entries[u.ID]
+	if !ok || e.Born != u.Born || e.Address != u.Address {
+		n := &entry{Upstream: u, held: map[Adapter]Held{}, own: map[Adapter]*Use{}, peers: map[string]map[Adapter]Use{}, pace: 1}
+		for a, v := range u.Adapters {
+			n.held[a] = Held{Version: v}
+		}
+		if ok {
+			n.own, n.peers = e.own, e.peers
+		}
+		p.entries[u.ID] = n
+		return
+	}
+	e.Upstream = u
+	e.goneAt = 0
+}
+
+// Remove drops an upstream at an instant.
+func (p *Pool) Remove(id ID, at time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if e, ok := p.entries[id]; ok {
+		e.goneAt = at
+	}
+}
+
+// Sweep deletes the upstreams that are gone since before now.
+func (p *Pool) Sweep(now time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, e := range p.entries {
+		if e.goneAt != 0 && now >= e.goneAt && len(e.own) == 0 {
+			delete(p.entries, id)
+		}
+	}
+}
+
+// Get returns an upstream that is in use.
+func (p *Pool) Get(id ID, now time.Duration) (Upstream, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e, ok := p.entries[id]
+	if !ok || e.goneAt != 0 && now >= e.goneAt {
+		return Upstream{}, false
+	}
+	return e.Upstream, true
+}
+
+// Upstreams returns the upstreams that are in use.
+func (p *Pool) Upstreams(now time.Duration) []Upstream {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make([]Upstream, 0, len(p.entries))
+	for _, e := range p.entries {
+		if e.goneAt == 0 || now < e.goneAt {
+			out = append(out, e.Upstream)
+		}
+	}
+	return out
+}
+
+// Begin counts a request on an upstream until End.
+func (p *Pool) Begin(id ID, a Adapter, u Use) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e, ok := p.entries[id]
+	if !ok {
+		return
+	}
+	o, ok := e.own[a]
+	if !ok {
+		o = &Use{}
+		e.own[a] = o
+	}
+	o.add(u, 1)
+}
+
+// End takes a request, or the read part of one, off an upstream.
+func (p *Pool) End(id ID, a Adapter, u Use) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e, ok := p.entries[id]
+	if !ok || e.own[a] == nil {
+		return
+	}
+	o := e.own[a]
+	o.add(u, -1)
+	if o.Running <= 0 {
+		delete(e.own, a)
+	}
+}
+
+// OwnUses returns the work of this instance by upstream.
+func (p *Pool) OwnUses() map[ID]map[Adapter]Use {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := map[ID]map[Adapter]Use{}
+	for id, e := range p.entries {
+		if len(e.own) == 0 {
+			continue
+		}
+		m := make(map[Adapter]Use, len(e.own))
+		for a, u := range e.own {
+			m[a] = *u
+		}
+		out[id] = m
+	}
+	return out
+}
+
+// SetPeer replaces what a peer has on the upstreams. A nil map forgets the
+// peer.
+func (p *Pool) SetPeer(name string, uses map[ID]map[Adapter]Use) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, e := range p.entries {
+		if m := uses[id]; len(m) > 0 {
+			e.peers[name] = m
+		} else {
+			delete(e.peers, name)
+		}
+	}
+}
+
+// SetHeld replaces the adapters of an upstream by what its owner says.
+func (p *Pool) SetHeld(id ID, held map[Adapter]Held) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if e, ok := p.entries[id]; ok {
+		e.held = held
+	}
+}
+
+// Missing notes that an upstream said that it does not hold an adapter.
+func (p *Pool) Missing(id ID, a Adapter) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if e, ok := p.entries[id]; ok {
+		delete(e.held, a)
+	}
+}
+
+// InUse returns the requests that run on an upstream for an adapter.
+func (p *Pool) InUse(id ID, a Adapter) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e, ok := p.entries[id]
+	if !ok {
+		return 0
+	}
+	n := 0
+	if o := e.own[a]; o != nil {
+		n += o.Running
+	}
+	for _, m := range e.peers {
+		n += m[a].Running
+	}
+	return n
+}
+
+// Paced notes the time that a first event took and the time predicted.
+func (p *Pool) Paced(id ID, took, predicted time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e, ok := p.entries[id]
+	if !ok || predicted <= 0 {
+		return
+	}
+	x := min(max(float64(took)/float64(predicted), 0.5), maxPace)
+	e.pace += paceWeight * (x - e.pace)
+}
+
+const (
+	paceWeight = 0.1
+	maxPace    = 8.0
+)
+
+// Held returns a copy of the adapters on an upstream.
+func (p *Pool) Held(id ID) map[Adapter]Held {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := map[Adapter]Held{}
+	if e, ok := p.entries[id]; ok {
+		for a, h := range e.held {
+			out[a] = h
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/state/route/route.go
@@ -0,0 +1,213 @@
+// Package route holds what operators configure for callers: the routes, the
+// services behind them, and the workspaces with their keys and rates.
+package route
+
+import (
+	"cmp"
+	"net"
+	"slices"
+	"strings"
+	"time"
+)
+
+//go:generate go tool stringer -type=Kind -linecomment
+
+// Kind says what may be repeated of a route's requests.
+type Kind int
+
+// Kinds of routes. Requests of a safe route may run more than once, those of
+// an unsafe one at most once. Streams are unsafe unless they are resumable.
+const (
+	Safe   Kind = iota // safe
+	Unsafe             // unsafe
+	Stream             // stream
+)
+
+// Names of the configured things.
+type (
+	// ServiceName names a group of equal upstreams.
+	ServiceName string
+	// WorkspaceName names a workspace.
+	WorkspaceName string
+	// ModelName names a base model.
+	ModelName string
+	// AdapterName names an adapter of a base model.
+	AdapterName string
+	// Version is the version of a configuration or of an adapter.
+	Version int64
+)
+
+// Target is a service with its share of a route's requests.
+type Target struct {
+	Service ServiceName
+	Weight  int
+}
+
+// Route leads the requests for a host and path prefix to services.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	Kind   Kind
+	// Timeout is the longest time that a caller is kept waiting.
+	Timeout time.Duration
+	// Objective is the latency within which an answer counts as on time.
+	Objective time.Duration
+	Priority  int
+	Targets   []Target
+	// MaxAttempts bounds the upstreams that one request may be sent to.
+	MaxAttempts int
+	// Open routes need no key.
+	Open      bool
+	Resumable bool
+}
+
+// Repeatable reports whether a request may run on a second upstream after the
+// first one may have begun it.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Safe || r.Kind == Stream && r.Resumable
+}
+
+// Engine describes the model engines of a service.
+type Engine struct {
+	Slots        int
+	CacheTokens  int
+	AdapterSlots int
+	Models       []Model
+}
+
+// Model is a base model that engines may hold.
+type Model struct {
+	Name     ModelName
+	LoadTime time.Duration
+	DiskTime time.Duration
+	Adapters int
+}
+
+// Service is a group of equal upstreams.
+type Service struct {
+	Name           ServiceName
+	MaxConnections int
+	// Engine is nil for plain services.
+	Engine *Engine
+}
+
+// Workspace is a customer with its keys and its plan.
+type Workspace struct {
+	Name WorkspaceName
+	Keys []string
+	// Priority replaces that of the route if Ranked is set.
+	Priority int
+	Ranked   bool
+	// Rate and Burst are in tokens or requests; no limit if both are 0.
+	Rate  float64
+	Burst float64
+	// ByTokens is set when the plan counts tokens, not requests.
+	ByTokens bool
+	// PlainTokens is what a request counts that states no tokens.
+	PlainTokens float64
+}
+
+// Cost returns what a request counts against the workspace's plan.
+func (w *Workspace) Cost(tokens int) float64 {
+	switch {
+	case !w.ByTokens:
+		return 1
+	case tokens > 0:
+		return float64(tokens)
+	default:
+		return w.PlainTokens
+	}
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Config is a configuration as it was decoded.
+type Config struct {
+	Version    Version
+	Routes     []Route
+	Services   []Service
+	Workspaces []Workspace
+	Limits     Limits
+}
+
+// Table answers look-ups in one configuration. It is not changed after New.
+type Table struct {
+	Config
+	hosts    map[string][]*Route
+	services map[ServiceName]*Service
+	keys     map[string]*Workspace
+}
+
+// New indexes a configuration.
+func New(c Config) *Table {
+	t := &Table{Config: c, hosts: map[string][]*Route{}, services: map[ServiceName]*Service{}, keys: map[string]*Workspace{}}
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		h := strings.ToLower(r.Host)
+		t.hosts[h] = append(t.hosts[h], r)
+	}
+	for _, l := range t.hosts {
+		slices.SortStableFunc(l, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	for i := range t.Services {
+		t.services[t.Services[i].Name] = &t.Services[i]
+	}
+	for i := range t.Workspaces {
+		for _, k := range t.Workspaces[i].Keys {
+			t.keys[k] = &t.Workspaces[i]
+		}
+	}
+	return t
+}
+
+// Find returns the route with the longest prefix of path for the host, which
+// may carry a port.
+func (t *Table) Find(host, path string) (*Route, bool) {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	for _, r := range t.hosts[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// Service returns a service by its name.
+func (t *Table) Service(n ServiceName) (*Service, bool) {
+	s, ok := t.services[n]
+	return s, ok
+}
+
+// Holder returns the workspace that holds a key.
+func (t *Table) Holder(key string) (*Workspace, bool) {
+	w, ok := t.keys[key]
+	return w, ok
+}
+
+// Pick returns the service for a request by the weights of the route. The
+// draw is a number from 0 up to, not including, 1.
+func (r *Route) Pick(draw float64) ServiceName {
+	total := 0
+	for _, t := range r.Targets {
+		total += t.Weight
+	}
+	left := draw * float64(total)
+	for _, t := range r.Targets {
+		if left -= float64(t.Weight); left < 0 {
+			return t.Service
+		}
+	}
+	if len(r.Targets) == 0 {
+		return ""
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
--- a/timer/timer.go
+++ b/timer/timer.go
@@ -14,6 +14,10 @@
 type Service struct {
 	// Now returns the current time with its monotonic reading.
 	Now func() time.Time
+	// Boot returns the time since an arbitrary start. It neither follows jumps
+	// of the time of day nor stops while the machine is suspended, so leases
+	// are measured by it.
+	Boot func() time.Duration
 	// Notify sends on the returned channel once after d. The returned
 	// function releases the subscription.
 	Notify func(d time.Duration) (<-chan time.Time, func() bool)
@@ -24,7 +28,7 @@
 
 // New returns a service on the system clock.
 func New() *Service {
-	return &Service{Now: time.Now, Notify: notify, Repeat: repeat}
+	return &Service{Now: time.Now, Boot: boot, Notify: notify, Repeat: repeat}
 }
 
 func notify(d time.Duration) (<-chan time.Time, func() bool) {
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -137,6 +137,9 @@
 	if len(q.Body) == 0 {
 		h.Body = http.NoBody
 	}
+	// Lets the library send the request again when a kept connection was
+	// closed before a byte of it was written.
+	h.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(q.Body)), nil }
 	h.Header = q.Header
 	return h, nil
 }
