orders, gossip, pool: estimate loads by the fleet's, tell less, keep adapters where they were

A resumed stream passed on a second upstream's 500. Ruled out: slow loads (250 ms while 8 or fewer run, measured).

--- a/coordination/feed/feed.go
+++ b/coordination/feed/feed.go
@@ -27,6 +27,9 @@
 	Mirror *mirror.Mirror
 	// Changed is called with the rows that changed, in no order.
 	Changed func(rows []mirror.Row)
+	// Gap is the least time between two calls, for tables whose rows change
+	// all the time.
+	Gap time.Duration
 
 	store *store.Store
 	timer *timer.Service
@@ -56,6 +59,9 @@
 			complete = true
 			pause = minRetry
 			f.contact(true, nil)
+			if f.Gap > 0 {
+				_ = f.timer.Wait(c, f.Gap)
+			}
 			continue
 		case c.Err() != nil:
 			return
--- a/coordination/gossip/beat.go
+++ b/coordination/gossip/beat.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"slices"
 	"time"
 
 	"gentiangauge.example/gentiangauge/state/mirror"
@@ -9,6 +10,14 @@
 	"gentiangauge.example/gentiangauge/transport/mesh"
 )
 
+// Places are the adapters on an upstream.
+type Places struct {
+	// Held is relative to the beat: ReadyAt is 0 for adapters in place.
+	Held map[pool.Tag]pool.Held
+	// Recent are the adapters that the upstream loads faster.
+	Recent map[pool.Tag]bool
+}
+
 // Beat is what an instance tells the others of itself.
 type Beat struct {
 	Name string
@@ -25,14 +34,14 @@
 	// it gives no orders under it.
 	Lease       mirror.Version
 	Surrendered bool
-	// Spent and Left are the units of each workspace.
+	// Spent and Left are the units of each workspace. Left is only told while
+	// an instance has just started.
 	Spent map[route.WorkspaceName]float64
 	Left  map[route.WorkspaceName]float64
-	// Uses is the work on the upstreams.
-	Uses map[pool.ID]map[pool.Adapter]pool.Use
-	// Held are the adapters on the upstreams that the instance gives orders
-	// to. ReadyAt is relative to the beat.
-	Held map[pool.ID]map[pool.Adapter]pool.Held
+	// Uses is the work on the upstreams, by upstream and adapter.
+	Uses map[pool.Tag]map[pool.Tag]pool.Use
+	// Held are the adapters on the upstreams that the instance gives orders to.
+	Held map[pool.Tag]Places
 	// Loading is the number of adapter loads under way that it ordered.
 	Loading int
 }
@@ -51,7 +60,7 @@
 	Uses        []*useMessage    `protobuf:"bytes,10,rep,name=uses,proto3"`
 	Held        []*heldMessage   `protobuf:"bytes,11,rep,name=held,proto3"`
 	Loading     int64            `protobuf:"varint,12,opt,name=loading,proto3"`
-	Left        []*amountMessage `protobuf:"bytes,14,rep,name=left,proto3"`
+	Left        []*amountMessage `protobuf:"bytes,13,rep,name=left,proto3"`
 }
 
 type countMessage struct {
@@ -68,23 +77,22 @@
 
 type useMessage struct {
 	mesh.Message
-	Upstream string `protobuf:"bytes,1,opt,name=upstream,proto3"`
-	Model    string `protobuf:"bytes,2,opt,name=model,proto3"`
-	Adapter  string `protobuf:"bytes,3,opt,name=adapter,proto3"`
-	Running  int64  `protobuf:"varint,4,opt,name=running,proto3"`
-	Unread   int64  `protobuf:"varint,5,opt,name=unread,proto3"`
-	Tokens   int64  `protobuf:"varint,6,opt,name=tokens,proto3"`
+	Upstream uint32 `protobuf:"fixed32,1,opt,name=upstream,proto3"`
+	Adapter  uint32 `protobuf:"fixed32,2,opt,name=adapter,proto3"`
+	Running  int64  `protobuf:"varint,3,opt,name=running,proto3"`
+	Unread   int64  `protobuf:"varint,4,opt,name=unread,proto3"`
+	Tokens   int64  `protobuf:"varint,5,opt,name=tokens,proto3"`
 }
 
-// heldMessage is an adapter on an upstream, or an upstream without adapters
-// if it names no model.
+// heldMessage lists the adapters on an upstream. Versions and ReadyInMs are
+// in the order of Adapters.
 type heldMessage struct {
 	mesh.Message
-	Upstream  string `protobuf:"bytes,1,opt,name=upstream,proto3"`
-	Model     string `protobuf:"bytes,2,opt,name=model,proto3"`
-	Adapter   string `protobuf:"bytes,3,opt,name=adapter,proto3"`
-	Version   int64  `protobuf:"varint,4,opt,name=version,proto3"`
-	ReadyInMs int64  `protobuf:"varint,5,opt,name=ready_in_ms,proto3"`
+	Upstream  uint32   `protobuf:"fixed32,1,opt,name=upstream,proto3"`
+	Adapters  []uint32 `protobuf:"fixed32,2,rep,packed,name=adapters,proto3"`
+	Versions  []int64  `protobuf:"varint,3,rep,packed,name=versions,proto3"`
+	ReadyInMs []int64  `protobuf:"varint,4,rep,packed,name=ready_in_ms,proto3"`
+	Recent    []uint32 `protobuf:"fixed32,5,rep,packed,name=recent,proto3"`
 }
 
 func (b Beat) message() *beatMessage {
@@ -99,21 +107,22 @@
 	for id, uses := range b.Uses {
 		for a, u := range uses {
 			m.Uses = append(m.Uses, &useMessage{
-				Upstream: string(id), Model: string(a.Model), Adapter: string(a.Name),
-				Running: int64(u.Running), Unread: int64(u.Unread), Tokens: int64(u.Tokens),
+				Upstream: uint32(id), Adapter: uint32(a), Running: int64(u.Running), Unread: int64(u.Unread), Tokens: int64(u.Tokens),
 			})
 		}
 	}
-	for id, held := range b.Held {
-		if len(held) == 0 {
-			m.Held = append(m.Held, &heldMessage{Upstream: string(id)})
+	for id, p := range b.Held {
+		x := &heldMessage{Upstream: uint32(id)}
+		for a, h := range p.Held {
+			x.Adapters = append(x.Adapters, uint32(a))
+			x.Versions = append(x.Versions, int64(h.Version))
+			x.ReadyInMs = append(x.ReadyInMs, h.ReadyAt.Milliseconds())
 		}
-		for a, h := range held {
-			m.Held = append(m.Held, &heldMessage{
-				Upstream: string(id), Model: string(a.Model), Adapter: string(a.Name),
-				Version: int64(h.Version), ReadyInMs: h.ReadyAt.Milliseconds(),
-			})
+		for a := range p.Recent {
+			x.Recent = append(x.Recent, uint32(a))
 		}
+		slices.Sort(x.Recent)
+		m.Held = append(m.Held, x)
 	}
 	return m
 }
@@ -138,31 +147,34 @@
 	b := Beat{
 		Name: m.Name, Run: m.Run, Sequence: m.Sequence, Serving: m.Serving, Uptime: time.Duration(m.UptimeMs) * time.Millisecond,
 		Lease: mirror.Version(m.Lease), Surrendered: m.Surrendered, Loading: int(m.Loading),
-		Versions: map[string]mirror.Version{},
-		Spent:    amountMap(m.Spent), Left: amountMap(m.Left),
-		Uses: map[pool.ID]map[pool.Adapter]pool.Use{}, Held: map[pool.ID]map[pool.Adapter]pool.Held{},
+		Versions: map[string]mirror.Version{}, Spent: amountMap(m.Spent), Left: amountMap(m.Left),
+		Uses: map[pool.Tag]map[pool.Tag]pool.Use{}, Held: map[pool.Tag]Places{},
 	}
 	for _, v := range m.Versions {
 		b.Versions[v.Name] = mirror.Version(v.Count)
 	}
 	for _, u := range m.Uses {
-		id := pool.ID(u.Upstream)
+		id := pool.Tag(u.Upstream)
 		if b.Uses[id] == nil {
-			b.Uses[id] = map[pool.Adapter]pool.Use{}
+			b.Uses[id] = map[pool.Tag]pool.Use{}
 		}
-		a := pool.Adapter{Model: route.ModelName(u.Model), Name: route.AdapterName(u.Adapter)}
-		b.Uses[id][a] = pool.Use{Running: int(u.Running), Unread: int(u.Unread), Tokens: int(u.Tokens)}
+		b.Uses[id][pool.Tag(u.Adapter)] = pool.Use{Running: int(u.Running), Unread: int(u.Unread), Tokens: int(u.Tokens)}
 	}
 	for _, h := range m.Held {
-		id := pool.ID(h.Upstream)
-		if b.Held[id] == nil {
-			b.Held[id] = map[pool.Adapter]pool.Held{}
-		}
-		if h.Model == "" {
-			continue
-		}
-		a := pool.Adapter{Model: route.ModelName(h.Model), Name: route.AdapterName(h.Adapter)}
-		b.Held[id][a] = pool.Held{Version: route.Version(h.Version), ReadyAt: time.Duration(h.ReadyInMs) * time.Millisecond}
+		b.Held[pool.Tag(h.Upstream)] = h.places()
 	}
 	return b
 }
+
+func (h *heldMessage) places() Places {
+	p := Places{Held: map[pool.Tag]pool.Held{}, Recent: map[pool.Tag]bool{}}
+	for i, a := range h.Adapters {
+		if i < len(h.Versions) && i < len(h.ReadyInMs) {
+			p.Held[pool.Tag(a)] = pool.Held{Version: route.Version(h.Versions[i]), ReadyAt: time.Duration(h.ReadyInMs[i]) * time.Millisecond}
+		}
+	}
+	for _, a := range h.Recent {
+		p.Recent[pool.Tag(a)] = true
+	}
+	return p
+}
--- a/coordination/orders/duty.go
+++ b/coordination/orders/duty.go
@@ -11,6 +11,7 @@
 
 // Run notes uses and orders missing base models until c ends.
 func (o *Orders) Run(c context.Context) {
+	go o.Timer.Subscribe(c, loadStep, func(time.Time) { o.follow() })
 	o.Timer.Subscribe(c, tick, func(time.Time) {
 		for _, id := range o.Ownership.Owned(o.Timer.Boot()) {
 			o.worker(id).Tell(func(e *engine) { o.attend(c, e, id) })
@@ -18,6 +19,24 @@
 	})
 }
 
+// follow keeps the estimated ends of loads up to date.
+func (o *Orders) follow() {
+	o.mu.Lock()
+	var busy []pool.ID
+	for id, n := range o.loading {
+		if n > 0 {
+			busy = append(busy, id)
+		}
+	}
+	o.mu.Unlock()
+	for _, id := range busy {
+		o.worker(id).Tell(func(e *engine) {
+			e.advance(o.Timer.Boot(), o.Loading()+o.Own(), o.Timing.Parallel)
+			o.publish(e, id)
+		})
+	}
+}
+
 // attend looks after one engine.
 func (o *Orders) attend(c context.Context, e *engine, id pool.ID) {
 	now := o.Timer.Boot()
--- a/coordination/orders/orders.go
+++ b/coordination/orders/orders.go
@@ -29,6 +29,11 @@
 	// queueLength bounds the requests that wait for the worker of an engine.
 	queueLength = 64
 	tick        = 300 * time.Millisecond
+	// loadStep is the time between two looks at the loads under way.
+	loadStep = 50 * time.Millisecond
+	// lateLoad is the time after the estimated end of a load in which it may
+	// still go on.
+	lateLoad = 500 * time.Millisecond
 	// modelRetry is the pause before a base model is ordered again.
 	modelRetry = 6 * time.Second
 )
@@ -62,12 +67,16 @@
 	return &Orders{Services: s, life: c, workers: map[pool.ID]*worker.Worker[engine]{}, loading: map[pool.ID]int{}}
 }
 
+func newEngine() *engine {
+	return &engine{places: map[pool.Adapter]*place{}, recent: map[pool.Adapter]time.Duration{}, dropped: map[pool.Adapter]time.Duration{}}
+}
+
 func (o *Orders) worker(id pool.ID) *worker.Worker[engine] {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	w, ok := o.workers[id]
 	if !ok {
-		w = worker.Start(o.life, queueLength, &engine{places: map[pool.Adapter]*place{}, recent: map[pool.Adapter]time.Duration{}})
+		w = worker.Start(o.life, queueLength, newEngine())
 		o.workers[id] = w
 	}
 	return w
@@ -93,6 +102,7 @@
 		return 0, ownership.ErrNotOwner
 	}
 	now := o.Timer.Boot()
+	e.advance(now, o.Loading()+o.Own(), o.Timing.Parallel)
 	inUse := func(x pool.Adapter) int { return o.Pool.InUse(id, x) }
 	d, x := e.plan(a, v, n.AdapterSlots, inUse, now)
 	switch d {
@@ -124,13 +134,16 @@
 		return ErrUnsure
 	}
 	if u.Born != e.upstream.Born {
-		e.places, e.recent, e.modelAt = map[pool.Adapter]*place{}, map[pool.Adapter]time.Duration{}, 0
-		e.synced = false
+		*e = *newEngine()
 	}
 	e.upstream = u
 	if e.synced && e.token == t {
 		return nil
 	}
+	if e.orderedAt != 0 && now-e.orderedAt < reportLag {
+		// The report cannot know the last order yet.
+		return ErrUnsure
+	}
 	x, cancel := context.WithTimeout(c, reportTime)
 	defer cancel()
 	r, err := o.Engines.Report(x, u)
@@ -143,7 +156,11 @@
 	return nil
 }
 
-// merge takes over what an engine reports.
+// reportLag is how far a report may be behind, twice what the platform states.
+const reportLag = 250 * time.Millisecond
+
+// merge takes over what an engine reports, but for what was ordered so lately
+// that the report cannot know.
 func (e *engine) merge(r Report, now, cold time.Duration) {
 	places := map[pool.Adapter]*place{}
 	add := func(a pool.Adapter, v route.Version, readyAt time.Duration) {
@@ -151,9 +168,20 @@
 		if !ok {
 			p = &place{lastUse: now, scoreAt: now}
 		}
-		p.version, p.readyAt = v, readyAt
+		if ok && now-p.orderedAt < reportLag || now-e.dropped[a] < reportLag && e.dropped[a] != 0 {
+			return
+		}
+		if !ok || p.left <= 0 || readyAt == 0 {
+			p.left, p.readyAt = max(0, readyAt-now), readyAt
+		}
+		p.version = v
 		places[a] = p
 	}
+	for a, p := range e.places {
+		if now-p.orderedAt < reportLag {
+			places[a] = p
+		}
+	}
 	for a, v := range r.Adapters {
 		add(a, v, 0)
 	}
@@ -183,6 +211,7 @@
 	switch a {
 	case Accepted:
 		e.sequence++
+		e.orderedAt = o.Timer.Boot()
 	case Holds:
 	case Fenced:
 		o.Ownership.Fenced(e.upstream.ID)
@@ -217,7 +246,9 @@
 		return ErrFull
 	}
 	e.sequence++
+	e.orderedAt = o.Timer.Boot()
 	e.remember(a, o.Timer.Boot())
+	e.dropped[a] = o.Timer.Boot()
 	return nil
 }
 
@@ -227,46 +258,42 @@
 		return 0, err
 	}
 	now := o.Timer.Boot()
-	ready := now
+	p := &place{version: v, orderedAt: now, readyAt: now, scoreAt: now}
 	if r == Accepted {
-		ready += o.estimate(e, a)
+		p.left = o.Timing.Cold
+		if _, ok := e.recent[a]; ok {
+			p.left = o.Timing.Warm
+		}
 	} else {
 		e.synced = false
 	}
-	p := &place{version: v, readyAt: ready, scoreAt: now}
-	p.used(ready, 1)
 	if old, ok := e.places[a]; ok {
 		p.score = old.score
 	}
 	e.places[a] = p
 	delete(e.recent, a)
+	delete(e.dropped, a)
+	e.advance(now, o.Loading()+o.Own()+1, o.Timing.Parallel)
+	p.used(p.readyAt, 1)
 	o.publish(e, e.upstream.ID)
-	return ready - now, nil
-}
-
-// estimate returns the time that a load takes with those that are under way.
-func (o *Orders) estimate(e *engine, a pool.Adapter) time.Duration {
-	if _, ok := e.recent[a]; ok {
-		return o.Timing.Warm
-	}
-	d := o.Timing.Cold
-	if n := o.Loading() + o.Own(); n >= o.Timing.Parallel {
-		d = d * time.Duration(n+1) / time.Duration(o.Timing.Parallel)
-	}
-	return d
+	return p.readyAt - now, nil
 }
 
 // publish makes the places known to the choice of upstreams.
 func (o *Orders) publish(e *engine, id pool.ID) {
-	held := make(map[pool.Adapter]pool.Held, len(e.places))
+	held := make(map[pool.Tag]pool.Held, len(e.places))
+	recent := make(map[pool.Tag]bool, len(e.recent))
+	for a := range e.recent {
+		recent[a.Tag()] = true
+	}
 	now, n := o.Timer.Boot(), 0
 	for a, p := range e.places {
-		held[a] = pool.Held{Version: p.version, ReadyAt: p.readyAt}
+		held[a.Tag()] = pool.Held{Version: p.version, ReadyAt: p.readyAt}
 		if p.readyAt > now {
 			n++
 		}
 	}
-	o.Pool.SetHeld(id, held)
+	o.Pool.SetHeld(id, held, recent)
 	o.mu.Lock()
 	o.loading[id] = n
 	o.mu.Unlock()
@@ -283,7 +310,18 @@
 	return n
 }
 
-// Lost notes that an engine does not hold an adapter that it was said to hold.
-func (o *Orders) Lost(id pool.ID) {
-	o.worker(id).Tell(func(e *engine) { e.synced = false })
+// Lost notes that an engine does not hold an adapter that it was said to
+// hold. A load that seems to have ended lately may take a little longer.
+func (o *Orders) Lost(id pool.ID, a pool.Adapter) {
+	o.worker(id).Tell(func(e *engine) {
+		now := o.Timer.Boot()
+		p, ok := e.places[a]
+		if ok && now-p.readyAt < lateLoad && p.readyAt > p.orderedAt {
+			p.left = max(p.left, loadStep)
+			p.readyAt = now + p.left
+			o.publish(e, id)
+			return
+		}
+		e.synced = false
+	})
 }
--- a/coordination/orders/plan.go
+++ b/coordination/orders/plan.go
@@ -11,7 +11,12 @@
 // place is an adapter on an engine, as its owner knows it.
 type place struct {
 	version route.Version
+	// left is the time that the load still takes at full speed, readyAt the
+	// instant at which it ends if nothing changes.
+	left    time.Duration
 	readyAt time.Duration
+	// orderedAt is the instant of the order, which the engine's report lags.
+	orderedAt time.Duration
 	// lastUse is the last instant at which a request used or asked for it.
 	lastUse time.Duration
 	// score counts recent uses; it halves every scoreHalf.
@@ -55,8 +60,14 @@
 	// order was left without an answer since.
 	synced   bool
 	sequence int64
-	places   map[pool.Adapter]*place
-	recent   map[pool.Adapter]time.Duration
+	// orderedAt is the instant of the last order that changed the sequence.
+	orderedAt time.Duration
+	places    map[pool.Adapter]*place
+	recent    map[pool.Adapter]time.Duration
+	// advanced is the instant up to which loads were advanced.
+	advanced time.Duration
+	// dropped are the adapters unloaded lately, which the report may still name.
+	dropped map[pool.Adapter]time.Duration
 	// modelAt is when the base model was ordered last.
 	modelAt time.Duration
 }
@@ -121,6 +132,27 @@
 	return worst, found
 }
 
+// advance moves the loads on to now. Above the number of loads over the fleet
+// that run at full speed, all become slower in proportion.
+//
+// Load pattern: many adapters are asked for at once.
+func (e *engine) advance(now time.Duration, loading, parallel int) {
+	passed := now - e.advanced
+	e.advanced = now
+	slower := max(1, float64(loading)/float64(parallel))
+	for _, p := range e.places {
+		if p.left <= 0 {
+			continue
+		}
+		p.left -= time.Duration(float64(min(passed, now-p.orderedAt)) / slower)
+		if p.left <= 0 {
+			p.left, p.readyAt = 0, now
+			continue
+		}
+		p.readyAt = now + time.Duration(float64(p.left)*slower)
+	}
+}
+
 func (e *engine) remember(a pool.Adapter, now time.Duration) {
 	e.recent[a] = now
 	if len(e.recent) <= maxRecent {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -30,6 +30,10 @@
 	"gentiangauge.example/gentiangauge/transport/store"
 )
 
+// upstreamGap is the least time between two looks at the list of upstreams,
+// of which some row changes many times a second.
+const upstreamGap = 700 * time.Millisecond
+
 // timelineEvents is the number of events that an instance keeps.
 const timelineEvents = 256
 
@@ -133,6 +137,7 @@
 	} {
 		e.feeds[table] = feed.New(table, e.Store, e.timer, log, changed)
 	}
+	e.feeds[e.Tables.Upstreams].Gap = upstreamGap
 }
 
 func (e *Entry) newDuties(r prometheus.Registerer, log *zap.Logger) {
@@ -206,20 +211,32 @@
 	e.gossip.Send()
 }
 
-// Addresses returns the front addresses of the instances that callers may
-// use.
-func (e *Entry) Addresses() []string {
-	now := e.timer.Boot()
-	var out []string
+// minLocal is the number of instances of a caller's availability zone from
+// which on it is sent to no other zone.
+const minLocal = 2
+
+// Addresses returns the front addresses of the instances that callers of an
+// availability zone may use.
+func (e *Entry) Addresses(zone string) []string {
+	var all, local []string
+	add := func(address, z string) {
+		all = append(all, address)
+		if z == zone {
+			local = append(local, address)
+		}
+	}
 	if e.Ready() {
-		out = append(out, e.FrontAddress)
+		add(e.FrontAddress, e.Zone)
 	}
-	for _, p := range e.gossip.Live(now) {
+	for _, p := range e.gossip.Live(e.timer.Boot()) {
 		if m, ok := e.members.get(p.Name); ok && p.Serving {
-			out = append(out, m.front)
+			add(m.front, m.zone)
 		}
 	}
-	return out
+	if len(local) >= minLocal {
+		return local
+	}
+	return all
 }
 
 func (e *Entry) engine(s route.ServiceName) (*route.Engine, bool) {
@@ -268,8 +285,8 @@
 	return time.Duration(r.ReadyInMs) * time.Millisecond, nil
 }
 
-func (e *Entry) lost(id pool.ID) {
+func (e *Entry) lost(id pool.ID, a pool.Adapter) {
 	if owner, ok := e.ownership.Owner(id); ok && owner == e.Name {
-		e.orders.Lost(id)
+		e.orders.Lost(id, a)
 	}
 }
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -32,18 +32,22 @@
 	houseInterval = 250 * time.Millisecond
 	// forgetMember is the silence after which a member's row is removed.
 	forgetMember = 20 * time.Second
-	joinRetry    = 300 * time.Millisecond
+	// youngTime is the age up to which an instance takes over levels.
+	youngTime = 2 * adoptWithin
+	joinRetry = 300 * time.Millisecond
 )
 
 type memberRow struct {
 	Front string `json:"front"`
 	Peer  string `json:"peer"`
+	Zone  string `json:"zone"`
 	Run   int64  `json:"run"`
 }
 
 // member is an instance of the fleet.
 type member struct {
 	front   string
+	zone    string
 	peer    netip.AddrPort
 	version mirror.Version
 }
@@ -105,14 +109,14 @@
 			e.log.Error("member cannot be read", zap.String("key", r.Key), zap.Error(err))
 			continue
 		}
-		e.members.set(name, member{front: m.Front, peer: peer, version: r.Version})
+		e.members.set(name, member{front: m.Front, zone: m.Zone, peer: peer, version: r.Version})
 		e.log.Info("member", zap.String("name", name), zap.String("peer", m.Peer), zap.Int64("run", m.Run))
 	}
 }
 
 // join writes the row that names this instance, until it is written.
 func (e *Entry) join(c context.Context) {
-	value, err := json.Marshal(memberRow{Front: e.FrontAddress, Peer: e.PeerAddress, Run: e.run})
+	value, err := json.Marshal(memberRow{Front: e.FrontAddress, Peer: e.PeerAddress, Zone: e.Zone, Run: e.run})
 	if err != nil {
 		e.log.Error("member cannot be encoded", zap.Error(err))
 		return
@@ -141,40 +145,54 @@
 	lease, surrendered := e.ownership.Lease(now)
 	b := gossip.Beat{
 		Run: e.run, Serving: e.Ready(), Uptime: now - e.began, Lease: lease, Surrendered: surrendered,
-		Uses: e.pool.OwnUses(), Held: map[pool.ID]map[pool.Adapter]pool.Held{}, Loading: e.orders.Own(),
+		Uses: e.pool.OwnUses(), Held: map[pool.Tag]gossip.Places{}, Loading: e.orders.Own(),
 		Versions: map[string]mirror.Version{},
 	}
 	b.Spent, b.Left = e.quota.report(now)
+	if !e.anyYoung(now) {
+		b.Left = nil
+	}
 	for t, f := range e.feeds {
 		b.Versions[t] = f.Mirror.Newest()
 	}
 	for _, id := range e.ownership.Owned(now) {
-		held := e.pool.Held(id)
+		held, recent := e.pool.Held(id)
 		for a, h := range held {
 			h.ReadyAt = max(0, h.ReadyAt-now)
 			held[a] = h
 		}
-		b.Held[id] = held
+		b.Held[id.Tag()] = gossip.Places{Held: held, Recent: recent}
 	}
 	return b
 }
 
+// anyYoung reports whether an instance has just started.
+func (e *Entry) anyYoung(now time.Duration) bool {
+	for _, p := range e.gossip.Live(now) {
+		if p.Uptime < youngTime {
+			return true
+		}
+	}
+	return false
+}
+
 // heard takes over what another instance tells.
 func (e *Entry) heard(b gossip.Beat) {
 	now := e.timer.Boot()
 	e.pool.SetPeer(b.Name, b.Uses)
 	e.quota.heard(b, now-e.began, now)
-	for id, held := range b.Held {
-		if owner, ok := e.ownership.Owner(id); !ok || owner != b.Name {
+	for _, u := range e.pool.Upstreams(now) {
+		p, ok := b.Held[u.ID.Tag()]
+		if owner, known := e.ownership.Owner(u.ID); !ok || !known || owner != b.Name {
 			continue
 		}
-		for a, h := range held {
+		for a, h := range p.Held {
 			if h.ReadyAt > 0 {
 				h.ReadyAt += now
 			}
-			held[a] = h
+			p.Held[a] = h
 		}
-		e.pool.SetHeld(id, held)
+		e.pool.SetHeld(u.ID, p.Held, p.Recent)
 	}
 }
 
--- a/protocol/dispatch/attempt.go
+++ b/protocol/dispatch/attempt.go
@@ -26,6 +26,10 @@
 	placeRetry = 40 * time.Millisecond
 	// maxSends bounds the sends of a request, with those that were rejected.
 	maxSends = 6
+	// maxMoved is the number of engines that may lack the adapter before the
+	// next one has it loaded anew, loadRetry the pause after each.
+	maxMoved  = 4
+	loadRetry = 60 * time.Millisecond
 	// reserve is the part of the remaining time that is kept for the answer.
 	reserve = 30 * time.Millisecond
 	// silentFactor is the number of latency objectives after which an upstream
@@ -113,11 +117,12 @@
 			return h, late
 		}
 		if !h.Load {
-			return h, d.await(c, h.ReadyIn)
+			return h, d.await(c, j, h.ID, h.ReadyIn)
 		}
 		ready, err := d.Load(c, h.ID, j.Adapter, h.Version)
 		if err == nil {
-			return h, d.await(c, ready)
+			d.Pool.Coming(h.ID, j.Adapter, pool.Held{Version: h.Version, ReadyAt: d.Timer.Boot() + ready})
+			return h, d.await(c, j, h.ID, ready)
 		}
 		d.Log.Debug("load refused", zap.String("request", j.ID), zap.String("upstream", string(h.ID)), zap.Error(err))
 		tried[h.ID] = true
@@ -145,12 +150,13 @@
 	return refusal.Later(refusal.Overloaded, shortRetry, "the answer would begin after %v, the caller waits for %v", begin, j.until-now)
 }
 
-func (d *Dispatcher) await(c context.Context, t time.Duration) error {
-	if t <= 0 {
-		return nil
-	}
-	if err := d.Timer.Wait(c, t); err != nil {
-		return refusal.Later(refusal.Overloaded, shortRetry, "the adapter was not ready in time")
+// await waits until an adapter is ready by what its owner says meanwhile.
+func (d *Dispatcher) await(c context.Context, j *job, id pool.ID, t time.Duration) error {
+	for t > 0 {
+		if err := d.Timer.Wait(c, t); err != nil {
+			return refusal.Later(refusal.Overloaded, shortRetry, "the adapter was not ready in time")
+		}
+		t, _ = d.Pool.ReadyIn(id, j.Adapter, d.Timer.Boot())
 	}
 	return nil
 }
@@ -275,8 +281,7 @@
 		d.Log.Info("not run", zap.String("request", j.ID), zap.String("upstream", string(id)), zap.Int("status", a.Status),
 			zap.Bool("moved", a.Moved), zap.String("adapter", string(j.Adapter.Name)), zap.Int64("version", int64(j.choice.Version)))
 		if a.Moved {
-			d.Pool.Missing(id, j.Adapter)
-			d.Lost(id)
+			d.missing(j, now)
 		} else {
 			d.Pool.Note(id, pool.Busy, now)
 			j.avoid[id] = true
@@ -291,6 +296,11 @@
 		return eris.Wrap(errNext, "the answer does not belong to the request")
 	}
 	j.runs++
+	if j.first && a.Status != http.StatusOK {
+		j.avoid[id] = true
+		d.Pool.Note(id, pool.Failed, now)
+		return eris.Wrapf(errNext, "the stream is not resumed, status %d", a.Status)
+	}
 	if a.Status >= http.StatusInternalServerError {
 		d.Pool.Note(id, pool.Failed, now)
 		if j.route.Repeatable() && j.runs < j.route.MaxAttempts && !j.first {
@@ -303,6 +313,17 @@
 	return nil
 }
 
+// missing deals with an engine that lacks the adapter: its load takes longer
+// than estimated, or it was unloaded.
+func (d *Dispatcher) missing(j *job, now time.Duration) {
+	id := j.choice.ID
+	j.moved++
+	d.Lost(id, j.Adapter)
+	if j.moved > maxMoved || !d.Pool.Postpone(id, j.Adapter, now, loadRetry) {
+		d.Pool.Missing(id, j.Adapter)
+	}
+}
+
 func (d *Dispatcher) noteFirst(j *job, sent time.Duration) {
 	took := d.Timer.Boot() - sent
 	if j.service.Engine != nil {
--- a/protocol/dispatch/dispatch.go
+++ b/protocol/dispatch/dispatch.go
@@ -96,7 +96,7 @@
 	// until it is ready.
 	Load func(c context.Context, id pool.ID, a pool.Adapter, v route.Version) (time.Duration, error)
 	// Lost notes that an engine lacks an adapter that it was said to hold.
-	Lost func(id pool.ID)
+	Lost func(id pool.ID, a pool.Adapter)
 	// Send sends a request. It fails with relay.ErrNotSent or relay.ErrBroken.
 	Send func(c context.Context, s Send) (*Answer, error)
 	// Peers returns the number of other instances.
@@ -144,6 +144,8 @@
 	avoid  map[pool.ID]bool
 	// sends counts the sends, runs those that may have run.
 	sends, runs int
+	// moved counts the engines that did not hold the adapter.
+	moved int
 	// first is set once an event or an answer has reached the caller.
 	first     bool
 	lastEvent string
--- a/state/pool/choose.go
+++ b/state/pool/choose.go
@@ -18,8 +18,9 @@
 	TokensPerSecond float64
 	// Step is the time of one token of a batch.
 	Step time.Duration
-	// Load is the time that an adapter takes from the weight store.
-	Load time.Duration
+	// Load is the time that an adapter takes from the weight store, Reload
+	// the time of one that the engine held recently.
+	Load, Reload time.Duration
 }
 
 // Ask is a request that looks for an upstream.
@@ -68,6 +69,9 @@
 	fullPenalty = 3 * time.Second
 	// evictPenalty is the cost of a load that has to evict an adapter.
 	evictPenalty = 40 * time.Millisecond
+	// fetchPenalty is the price of an adapter from the weight store beside the
+	// time that it takes.
+	fetchPenalty = 150 * time.Millisecond
 	// plainService is the assumed time of a request of a plain service.
 	plainService = 60 * time.Millisecond
 )
@@ -151,7 +155,8 @@
 
 // adapterCost adds the time until the adapter is in place.
 func (e *entry) adapterCost(a Ask, c *Choice, now time.Duration) time.Duration {
-	h, ok := e.held[a.Adapter]
+	t := a.Adapter.Tag()
+	h, ok := e.held[t]
 	if ok && h.Version >= a.Oldest {
 		c.Version = h.Version
 		c.ReadyIn = max(0, h.ReadyAt-now)
@@ -161,19 +166,22 @@
 		return c.ReadyIn
 	}
 	c.Load, c.Version = true, a.Version
-	cost := a.Engine.Load + e.rank(a.Adapter)
+	cost := a.Engine.Reload
+	if !e.recent[t] {
+		cost = a.Engine.Load + fetchPenalty + e.rank(a.Adapter)
+	}
 	idle := a.Engine.AdapterSlots - len(e.held)
 	if idle > 0 && !ok {
 		return cost
 	}
 	cost += evictPenalty
-	if ok && e.usesOf(a.Adapter) > 0 || !ok && e.idleHeld(now) == 0 {
+	if ok && e.usesOf(t) > 0 || !ok && e.idleHeld(now) == 0 {
 		cost += fullPenalty / 2
 	}
 	return cost
 }
 
-func (e *entry) usesOf(a Adapter) int {
+func (e *entry) usesOf(a Tag) int {
 	n := 0
 	if o := e.own[a]; o != nil {
 		n = o.Running
--- a/state/pool/pool.go
+++ b/state/pool/pool.go
@@ -3,9 +3,12 @@
 package pool
 
 import (
+	"maps"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"gentiangauge.example/gentiangauge/state/route"
 )
 
@@ -18,6 +21,20 @@
 	Name  route.AdapterName
 }
 
+// Tag stands for an adapter or an upstream where many are told of: 32 bits of
+// the hash of its name. Two that share a tag only make an estimate worse.
+type Tag uint32
+
+// Tag returns the tag of an adapter.
+func (a Adapter) Tag() Tag {
+	return Tag(xxhash.Sum64String(string(a.Model) + "/" + string(a.Name)))
+}
+
+// Tag returns the tag of an upstream.
+func (id ID) Tag() Tag {
+	return Tag(xxhash.Sum64String(string(id)))
+}
+
 // Held is an adapter on an upstream.
 type Held struct {
 	Version route.Version
@@ -62,9 +79,11 @@
 	Upstream
 	// goneAt is the instant from which the upstream is no longer used, or 0.
 	goneAt time.Duration
-	held   map[Adapter]Held
-	own    map[Adapter]*Use
-	peers  map[string]map[Adapter]Use
+	held   map[Tag]Held
+	// recent are the adapters that the upstream loads faster.
+	recent map[Tag]bool
+	own    map[Tag]*Use
+	peers  map[string]map[Tag]Use
 	health health
 	// pace is the measured time to the first event over the predicted one.
 	pace float64
@@ -89,9 +108,9 @@
 	defer p.mu.Unlock()
 	e, ok := p.entries[u.ID]
 	if !ok || e.Born != u.Born || e.Address != u.Address {
-		n := &entry{Upstream: u, held: map[Adapter]Held{}, own: map[Adapter]*Use{}, peers: map[string]map[Adapter]Use{}, pace: 1}
+		n := &entry{Upstream: u, held: map[Tag]Held{}, own: map[Tag]*Use{}, peers: map[string]map[Tag]Use{}, pace: 1}
 		for a, v := range u.Adapters {
-			n.held[a] = Held{Version: v}
+			n.held[a.Tag()] = Held{Version: v}
 		}
 		if ok {
 			n.own, n.peers = e.own, e.peers
@@ -155,10 +174,10 @@
 	if !ok {
 		return
 	}
-	o, ok := e.own[a]
+	o, ok := e.own[a.Tag()]
 	if !ok {
 		o = &Use{}
-		e.own[a] = o
+		e.own[a.Tag()] = o
 	}
 	o.add(u, 1)
 }
@@ -168,41 +187,42 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e, ok := p.entries[id]
-	if !ok || e.own[a] == nil {
+	t := a.Tag()
+	if !ok || e.own[t] == nil {
 		return
 	}
-	o := e.own[a]
+	o := e.own[t]
 	o.add(u, -1)
 	if o.Running <= 0 {
-		delete(e.own, a)
+		delete(e.own, t)
 	}
 }
 
 // OwnUses returns the work of this instance by upstream.
-func (p *Pool) OwnUses() map[ID]map[Adapter]Use {
+func (p *Pool) OwnUses() map[Tag]map[Tag]Use {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	out := map[ID]map[Adapter]Use{}
+	out := map[Tag]map[Tag]Use{}
 	for id, e := range p.entries {
 		if len(e.own) == 0 {
 			continue
 		}
-		m := make(map[Adapter]Use, len(e.own))
+		m := make(map[Tag]Use, len(e.own))
 		for a, u := range e.own {
 			m[a] = *u
 		}
-		out[id] = m
+		out[id.Tag()] = m
 	}
 	return out
 }
 
 // SetPeer replaces what a peer has on the upstreams. A nil map forgets the
 // peer.
-func (p *Pool) SetPeer(name string, uses map[ID]map[Adapter]Use) {
+func (p *Pool) SetPeer(name string, uses map[Tag]map[Tag]Use) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for id, e := range p.entries {
-		if m := uses[id]; len(m) > 0 {
+		if m := uses[id.Tag()]; len(m) > 0 {
 			e.peers[name] = m
 		} else {
 			delete(e.peers, name)
@@ -210,21 +230,45 @@
 	}
 }
 
-// SetHeld replaces the adapters of an upstream by what its owner says.
-func (p *Pool) SetHeld(id ID, held map[Adapter]Held) {
+// SetHeld replaces the adapters of an upstream, and those that it loads
+// faster, by what its owner says.
+func (p *Pool) SetHeld(id ID, held map[Tag]Held, recent map[Tag]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if e, ok := p.entries[id]; ok {
+		e.held, e.recent = held, recent
+	}
+}
+
+// Coming notes that an adapter will be ready on an upstream, before its owner
+// tells.
+func (p *Pool) Coming(id ID, a Adapter, h Held) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if e, ok := p.entries[id]; ok {
-		e.held = held
+		e.held[a.Tag()] = h
 	}
 }
 
+// ReadyIn returns the time until an adapter is ready on an upstream, and
+// false if it is not known to be there.
+func (p *Pool) ReadyIn(id ID, a Adapter, now time.Duration) (time.Duration, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e, ok := p.entries[id]
+	if !ok {
+		return 0, false
+	}
+	h, ok := e.held[a.Tag()]
+	return max(0, h.ReadyAt-now), ok
+}
+
 // Missing notes that an upstream said that it does not hold an adapter.
 func (p *Pool) Missing(id ID, a Adapter) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if e, ok := p.entries[id]; ok {
-		delete(e.held, a)
+		delete(e.held, a.Tag())
 	}
 }
 
@@ -236,14 +280,7 @@
 	if !ok {
 		return 0
 	}
-	n := 0
-	if o := e.own[a]; o != nil {
-		n += o.Running
-	}
-	for _, m := range e.peers {
-		n += m[a].Running
-	}
-	return n
+	return e.usesOf(a.Tag())
 }
 
 // Paced notes the time that a first event took and the time predicted.
@@ -263,15 +300,36 @@
 	maxPace    = 8.0
 )
 
-// Held returns a copy of the adapters on an upstream.
-func (p *Pool) Held(id ID) map[Adapter]Held {
+// Held returns a copy of the adapters on an upstream, and of those that it
+// loads faster.
+func (p *Pool) Held(id ID) (map[Tag]Held, map[Tag]bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	out := map[Adapter]Held{}
-	if e, ok := p.entries[id]; ok {
-		for a, h := range e.held {
-			out[a] = h
-		}
+	e, ok := p.entries[id]
+	if !ok {
+		return nil, nil
 	}
-	return out
+	return maps.Clone(e.held), maps.Clone(e.recent)
+}
+
+// lateLoad is the time after the estimated end of a load in which it may still
+// go on.
+const lateLoad = 500 * time.Millisecond
+
+// Postpone notes that a load takes longer than estimated. It returns false if
+// no load has ended lately.
+func (p *Pool) Postpone(id ID, a Adapter, now, d time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e, ok := p.entries[id]
+	if !ok {
+		return false
+	}
+	h, ok := e.held[a.Tag()]
+	if !ok || h.ReadyAt == 0 || now-h.ReadyAt > lateLoad {
+		return false
+	}
+	h.ReadyAt = max(h.ReadyAt, now+d)
+	e.held[a.Tag()] = h
+	return true
 }
