orders: bound loads from the weight store by what it serves at full speed

Cause: at the start of traffic 30 loads share what 8 get at full speed: each takes a second and holds one of 72 places meanwhile. Change: one load an engine, more while fewer than 8 run over the fleet; others are told that the store is busy and ask again.

--- a/coordination/orders/orders.go
+++ b/coordination/orders/orders.go
@@ -19,6 +19,9 @@
 var (
 	// ErrFull says that every adapter on the engine is in use.
 	ErrFull = eris.New("every adapter on the engine is in use")
+	// ErrStoreBusy says that the weight store has as many loads under way as it
+	// serves at full speed.
+	ErrStoreBusy = eris.New("the weight store is busy")
 	// ErrUnsure says that the state of the engine is not known at the moment.
 	ErrUnsure = eris.New("the state of the engine is not known")
 )
@@ -102,21 +105,28 @@
 		return 0, ownership.ErrNotOwner
 	}
 	now := o.Timer.Boot()
-	e.advance(now, o.Loading()+o.Own(), o.Timing.Parallel)
+	loading := o.Loading() + o.Own()
+	e.advance(now, loading, o.Timing.Parallel)
 	inUse := func(x pool.Adapter) int { return o.Pool.InUse(id, x) }
 	d, x := e.plan(a, v, n.AdapterSlots, inUse, now)
 	switch d {
-	case full:
-		return 0, ErrFull
-	case evict:
-		if err := o.unload(c, e, x); err != nil {
-			return 0, err
+	case evict, load:
+		if !e.mayFetch(a, loading, o.Timing.Parallel) {
+			return 0, ErrStoreBusy
 		}
+	case full:
+		return 0, eris.Wrap(ErrFull, e.occupation(inUse, now))
 	case present:
 		p := e.places[a]
-		p.used(max(now, p.readyAt), 1)
+		p.used(now, 1)
+		p.grantedUntil = max(now, p.readyAt) + grantTime
 		return max(0, p.readyAt-now), nil
 	}
+	if d == evict {
+		if err := o.unload(c, e, x); err != nil {
+			return 0, err
+		}
+	}
 	return o.order(c, e, a, v)
 }
 
@@ -260,8 +270,9 @@
 	now := o.Timer.Boot()
 	p := &place{version: v, orderedAt: now, readyAt: now, scoreAt: now}
 	if r == Accepted {
-		p.left = o.Timing.Cold
-		if _, ok := e.recent[a]; ok {
+		_, warm := e.recent[a]
+		p.left, p.fetched = o.Timing.Cold, !warm
+		if warm {
 			p.left = o.Timing.Warm
 		}
 	} else {
@@ -274,7 +285,8 @@
 	delete(e.recent, a)
 	delete(e.dropped, a)
 	e.advance(now, o.Loading()+o.Own()+1, o.Timing.Parallel)
-	p.used(p.readyAt, 1)
+	p.used(now, 1)
+	p.grantedUntil = p.readyAt + grantTime
 	o.publish(e, e.upstream.ID)
 	return p.readyAt - now, nil
 }
@@ -289,7 +301,7 @@
 	now, n := o.Timer.Boot(), 0
 	for a, p := range e.places {
 		held[a.Tag()] = pool.Held{Version: p.version, ReadyAt: p.readyAt}
-		if p.readyAt > now {
+		if p.fetched && p.readyAt > now {
 			n++
 		}
 	}
@@ -299,7 +311,8 @@
 	o.mu.Unlock()
 }
 
-// Own returns the adapter loads that this instance has under way.
+// Own returns the loads from the weight store that this instance has under
+// way.
 func (o *Orders) Own() int {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/coordination/orders/plan.go
+++ b/coordination/orders/plan.go
@@ -1,6 +1,7 @@
 package orders
 
 import (
+	"fmt"
 	"time"
 
 	"gentiangauge.example/gentiangauge/coordination/ownership"
@@ -17,8 +18,12 @@
 	readyAt time.Duration
 	// orderedAt is the instant of the order, which the engine's report lags.
 	orderedAt time.Duration
-	// lastUse is the last instant at which a request used or asked for it.
-	lastUse time.Duration
+	// fetched is set when the load is from the weight store.
+	fetched bool
+	// lastUse is the last instant at which a request used or asked for it,
+	// grantedUntil the instant until which one that asked may be on its way.
+	lastUse      time.Duration
+	grantedUntil time.Duration
 	// score counts recent uses; it halves every scoreHalf.
 	score   float64
 	scoreAt time.Duration
@@ -26,9 +31,10 @@
 
 const (
 	scoreHalf = 4 * time.Second
-	// keep is the time after the last use in which an adapter is not evicted,
-	// because a request for it may be on its way.
-	keep = 350 * time.Millisecond
+	// grantTime is the time after the end of a load, or a question for it, in
+	// which an adapter is not evicted: the request that asked is told of by its
+	// instance within two beats.
+	grantTime = 350 * time.Millisecond
 	// maxComing is the number of adapters that an engine loads at once.
 	maxComing = 4
 	// maxRecent is the number of adapters that an engine keeps in memory after
@@ -37,7 +43,7 @@
 )
 
 func (p *place) used(now time.Duration, n float64) {
-	p.lastUse = max(p.lastUse, now)
+	p.lastUse = now
 	p.decay(now)
 	p.score += n
 }
@@ -116,12 +122,49 @@
 	return full, a
 }
 
+// mayFetch reports whether an adapter may be loaded now. Each engine may have
+// one load from the weight store under way, and more while the fleet has fewer
+// than run at full speed: further ones would only make all of them slower, and
+// hold slots meanwhile.
+//
+// Load pattern: most requests ask for adapters that no engine has, such as
+// when traffic starts.
+func (e *engine) mayFetch(a pool.Adapter, loading, parallel int) bool {
+	if _, ok := e.recent[a]; ok || loading < parallel {
+		return true
+	}
+	for _, p := range e.places {
+		if p.fetched && p.left > 0 {
+			return false
+		}
+	}
+	return loading < 2*parallel
+}
+
+// occupation says what the slots of the engine are taken by, for the log.
+func (e *engine) occupation(inUse func(pool.Adapter) int, now time.Duration) string {
+	coming, used, granted, idle := 0, 0, 0, 0
+	for a, p := range e.places {
+		switch {
+		case p.readyAt > now:
+			coming++
+		case inUse(a) > 0:
+			used++
+		case now < p.grantedUntil:
+			granted++
+		default:
+			idle++
+		}
+	}
+	return fmt.Sprintf("%d loading, %d in use, %d granted, %d idle", coming, used, granted, idle)
+}
+
 // victim returns the adapter to evict: idle, and least asked for lately.
 func (e *engine) victim(inUse func(pool.Adapter) int, now time.Duration) (pool.Adapter, bool) {
 	var worst pool.Adapter
 	found := false
 	for a, p := range e.places {
-		if p.readyAt > now || now-p.lastUse < keep || inUse(a) > 0 {
+		if p.readyAt > now || now < p.grantedUntil || inUse(a) > 0 {
 			continue
 		}
 		p.decay(now)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -282,6 +282,9 @@
 		}
 		return 0, err
 	}
+	if r.StoreBusy {
+		return 0, orders.ErrStoreBusy
+	}
 	return time.Duration(r.ReadyInMs) * time.Millisecond, nil
 }
 
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net/netip"
 	"strings"
 	"sync"
@@ -12,6 +13,7 @@
 
 	"gentiangauge.example/gentiangauge/coordination/feed"
 	"gentiangauge.example/gentiangauge/coordination/gossip"
+	"gentiangauge.example/gentiangauge/coordination/orders"
 	"gentiangauge.example/gentiangauge/coordination/ownership"
 	"gentiangauge.example/gentiangauge/state/mirror"
 	"gentiangauge.example/gentiangauge/state/pool"
@@ -266,6 +268,7 @@
 type loadReply struct {
 	mesh.Message
 	ReadyInMs int64 `protobuf:"varint,1,opt,name=ready_in_ms,proto3"`
+	StoreBusy bool  `protobuf:"varint,2,opt,name=store_busy,proto3"`
 }
 
 type rowsQuery struct {
@@ -300,6 +303,9 @@
 	mesh.Handle(e.mesh, loadMethod, func(c context.Context, _ string, q *loadQuery) (*loadReply, error) {
 		a := pool.Adapter{Model: route.ModelName(q.Model), Name: route.AdapterName(q.Adapter)}
 		d, err := e.orders.Load(c, pool.ID(q.Upstream), a, route.Version(q.Version))
+		if errors.Is(err, orders.ErrStoreBusy) {
+			return &loadReply{StoreBusy: true}, nil
+		}
 		return &loadReply{ReadyInMs: d.Milliseconds()}, err
 	})
 	mesh.Handle(e.mesh, rowsMethod, func(_ context.Context, _ string, q *rowsQuery) (*rowsReply, error) {
--- a/protocol/dispatch/attempt.go
+++ b/protocol/dispatch/attempt.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"gentiangauge.example/gentiangauge/coordination/orders"
 	"gentiangauge.example/gentiangauge/refusal"
 	"gentiangauge.example/gentiangauge/state/pool"
 	"gentiangauge.example/gentiangauge/transport/relay"
@@ -124,8 +125,13 @@
 			d.Pool.Coming(h.ID, j.Adapter, pool.Held{Version: h.Version, ReadyAt: d.Timer.Boot() + ready})
 			return h, d.await(c, j, h.ID, ready)
 		}
-		d.Log.Debug("load refused", zap.String("request", j.ID), zap.String("upstream", string(h.ID)), zap.Error(err))
+		d.Log.Info("load refused", zap.String("request", j.ID), zap.String("upstream", string(h.ID)), zap.Error(err))
 		tried[h.ID] = true
+		if errors.Is(err, orders.ErrStoreBusy) {
+			// No other engine can load it sooner.
+			clear(tried)
+			_ = d.Timer.Wait(c, placeRetry)
+		}
 	}
 }
 
--- a/protocol/dispatch/dispatch.go
+++ b/protocol/dispatch/dispatch.go
@@ -198,6 +198,9 @@
 		f = append(f, zap.Int64("configuration", int64(t.Version)))
 	}
 	if j != nil {
+		if j.workspace != nil {
+			f = append(f, zap.String("workspace", string(j.workspace.Name)), zap.Float64("units", j.units))
+		}
 		f = append(f, zap.String("route", j.route.Name), zap.Int("sends", j.sends), zap.Int("runs", j.runs),
 			zap.String("upstream", string(j.choice.ID)), zap.Duration("predicted", j.choice.First), zap.Int("busy", j.choice.Busy.Running))
 	}
