--- a/coordination/gossip/gossip.go
+++ b/coordination/gossip/gossip.go
@@ -99,22 +99,25 @@
 			g.log.Warn("beat cannot be read", zap.Error(err))
 			continue
 		}
-		if b.Name != g.name && g.keep(b) {
-			g.Heard(b)
-		}
+		g.Take(b)
 	}
 }
 
-// keep stores a beat unless a newer one of the same run was heard.
-func (g *Gossip) keep(b Beat) bool {
+// Take notes a beat, unless it is older than one that was heard.
+func (g *Gossip) Take(b Beat) {
+	if b.Name == g.name {
+		return
+	}
 	g.mu.Lock()
-	defer g.mu.Unlock()
 	old, ok := g.peers[b.Name]
-	if ok && (old.Run > b.Run || old.Run == b.Run && old.Sequence >= b.Sequence) {
-		return false
+	late := ok && (old.Run > b.Run || old.Run == b.Run && old.Sequence >= b.Sequence)
+	if !late {
+		g.peers[b.Name] = Peer{Beat: b, At: g.timer.Boot()}
+	}
+	g.mu.Unlock()
+	if !late {
+		g.Heard(b)
 	}
-	g.peers[b.Name] = Peer{Beat: b, At: g.timer.Boot()}
-	return true
 }
 
 // Peer returns the newest beat of an instance.
--- /dev/null
+++ b/coordination/orders/orders_test.go
@@ -0,0 +1,227 @@
+package orders_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"gentiangauge.example/gentiangauge/coordination/gossip"
+	"gentiangauge.example/gentiangauge/coordination/orders"
+	"gentiangauge.example/gentiangauge/coordination/ownership"
+	"gentiangauge.example/gentiangauge/standin/memory"
+	"gentiangauge.example/gentiangauge/state/pool"
+	"gentiangauge.example/gentiangauge/state/route"
+	"gentiangauge.example/gentiangauge/timer"
+)
+
+const slots = 6
+
+// bench is an engine that checks what the users' engines check.
+type bench struct {
+	t        *testing.T
+	now      time.Duration
+	sequence int64
+	places   map[pool.Adapter]route.Version
+	ready    map[pool.Adapter]time.Duration
+	// lose is set while answers are lost, and late holds the orders that are
+	// carried out later.
+	lose  bool
+	late  []orders.Order
+	calls int
+	fence ownership.Token
+
+	pool   *pool.Pool
+	orders *orders.Orders
+	owner  *ownership.Ownership
+}
+
+func newBench(t *testing.T, loading int) *bench {
+	b := &bench{t: t, now: time.Hour, places: map[pool.Adapter]route.Version{}, ready: map[pool.Adapter]time.Duration{}, pool: pool.New()}
+	k := &timer.Service{Boot: func() time.Duration { return b.now }}
+	b.pool.Put(pool.Upstream{ID: "e0", Service: "models", Born: 1, Models: map[route.ModelName]route.Version{"m": 1}})
+	g := gossip.New("n0", nil, k, zap.NewNop())
+	b.owner = ownership.New("n0", 1, ownership.Services{
+		Store: memory.New().Client(), Timer: k, Gossip: g, Pool: b.pool, Log: zap.NewNop(),
+		Wanted: func(pool.Upstream) bool { return true },
+	})
+	b.pass(2 * time.Second)
+	b.orders = orders.New(t.Context(), orders.Services{
+		Engines: &orders.Engines{Report: b.report, Order: b.order}, Timer: k, Pool: b.pool, Ownership: b.owner, Log: zap.NewNop(),
+		Timing:  orders.Timing{Cold: 250 * time.Millisecond, Warm: 25 * time.Millisecond, Parallel: 8},
+		Engine:  func(route.ServiceName) (*route.Engine, bool) { return &route.Engine{AdapterSlots: slots}, true },
+		Loading: func() int { return loading },
+	})
+	return b
+}
+
+// pass lets time go on, with the renewals of the lease.
+func (b *bench) pass(d time.Duration) {
+	const step = 100 * time.Millisecond
+	for ; d > 0; d -= step {
+		b.now += min(d, step)
+		b.owner.Step(b.t.Context())
+	}
+}
+
+func (b *bench) report(context.Context, pool.Upstream) (orders.Report, error) {
+	r := orders.Report{Sequence: b.sequence, Adapters: map[pool.Adapter]route.Version{}, Coming: map[pool.Adapter]route.Version{}}
+	for a, v := range b.places {
+		if b.ready[a] > b.now {
+			r.Coming[a] = v
+		} else {
+			r.Adapters[a] = v
+		}
+	}
+	return r, nil
+}
+
+func (b *bench) order(_ context.Context, o orders.Order) (orders.Answer, error) {
+	b.calls++
+	if b.lose {
+		b.late = append(b.late, o)
+		return 0, orders.ErrNoAnswer
+	}
+	return b.carryOut(o), nil
+}
+
+func (b *bench) carryOut(o orders.Order) orders.Answer {
+	switch {
+	case o.Token < b.fence:
+		return orders.Fenced
+	case o.Sequence != b.sequence:
+		return orders.Conflict
+	}
+	b.fence = o.Token
+	b.sequence++
+	if o.Unload {
+		delete(b.places, o.Adapter)
+		return orders.Holds
+	}
+	b.places[o.Adapter] = o.Version
+	b.ready[o.Adapter] = b.now + 250*time.Millisecond
+	if len(b.places) > slots {
+		b.t.Errorf("engine holds %d adapters and crashes", len(b.places))
+	}
+	return orders.Accepted
+}
+
+func (b *bench) load(n int) (time.Duration, error) {
+	return b.orders.Load(b.t.Context(), "e0", adapter(n), 1)
+}
+
+func adapter(n int) pool.Adapter {
+	return pool.Adapter{Model: "m", Name: route.AdapterName(fmt.Sprintf("a%d", n))}
+}
+
+func TestLoadTellsWhenTheAdapterIsReady(t *testing.T) {
+	b := newBench(t, 0)
+	for _, want := range []time.Duration{250 * time.Millisecond, 150 * time.Millisecond} {
+		if d, err := b.load(1); err != nil || d != want {
+			t.Errorf("ready in %v, %v; want %v", d, err, want)
+		}
+		b.pass(100 * time.Millisecond)
+	}
+	if b.calls != 1 {
+		t.Errorf("%d orders for one adapter, want 1", b.calls)
+	}
+}
+
+// TestSlotsAreNeverOverfilled asks for more adapters than fit, one after the
+// other: idle ones make way, the engine never holds too many.
+func TestSlotsAreNeverOverfilled(t *testing.T) {
+	b := newBench(t, 0)
+	for i := range 40 {
+		if _, err := b.load(i); err != nil {
+			t.Fatalf("adapter %d: %v", i, err)
+		}
+		b.pass(time.Second)
+	}
+}
+
+func TestAdapterInUseIsNotEvicted(t *testing.T) {
+	b := newBench(t, 0)
+	for i := range slots {
+		if _, err := b.load(i); err != nil {
+			t.Fatal(err)
+		}
+		b.pool.Begin("e0", adapter(i), pool.Use{Running: 1})
+		b.pass(time.Second)
+	}
+	if _, err := b.load(99); !errors.Is(err, orders.ErrFull) {
+		t.Fatalf("error %v, want ErrFull", err)
+	}
+	b.pool.End("e0", adapter(2), pool.Use{Running: 1})
+	if _, err := b.load(99); err != nil {
+		t.Fatal(err)
+	}
+	if _, there := b.places[adapter(2)]; there {
+		t.Error("the adapter that was not in use is still there")
+	}
+}
+
+// TestLateOrderDoesNoHarm loses the answer of an order that the engine carries
+// out seconds later, after newer orders.
+func TestLateOrderDoesNoHarm(t *testing.T) {
+	b := newBench(t, 0)
+	for i := range slots - 1 {
+		if _, err := b.load(i); err != nil {
+			t.Fatal(err)
+		}
+		b.pass(time.Second)
+	}
+	b.lose = true
+	if _, err := b.load(50); !errors.Is(err, orders.ErrUnsure) {
+		t.Fatalf("error %v, want ErrUnsure", err)
+	}
+	b.lose = false
+	b.pass(time.Second)
+	if _, err := b.load(51); err != nil {
+		t.Fatal(err)
+	}
+	b.pass(5 * time.Second)
+	for _, o := range b.late {
+		if a := b.carryOut(o); a != orders.Conflict {
+			t.Errorf("late order: %v, want conflict", a)
+		}
+	}
+}
+
+// TestLoadsWaitWhileTheWeightStoreIsBusy replays the start of traffic, when
+// most requests ask for adapters that no engine has.
+func TestLoadsWaitWhileTheWeightStoreIsBusy(t *testing.T) {
+	b := newBench(t, 8)
+	if _, err := b.load(1); err != nil {
+		t.Fatalf("the first load of an engine: %v", err)
+	}
+	if _, err := b.load(2); !errors.Is(err, orders.ErrStoreBusy) {
+		t.Fatalf("error %v, want ErrStoreBusy", err)
+	}
+}
+
+func TestAdapterThatWasHeldLoadsFaster(t *testing.T) {
+	b := newBench(t, 0)
+	for i := range slots + 1 {
+		if _, err := b.load(i); err != nil {
+			t.Fatal(err)
+		}
+		b.pass(time.Second)
+	}
+	if d, err := b.load(0); err != nil || d != 25*time.Millisecond {
+		t.Errorf("ready in %v, %v; want 25ms", d, err)
+	}
+}
+
+func TestNoOrderWithoutOwnership(t *testing.T) {
+	b := newBench(t, 0)
+	b.owner.Leave()
+	if _, err := b.load(1); !errors.Is(err, ownership.ErrNotOwner) {
+		t.Errorf("error %v, want ErrNotOwner", err)
+	}
+	if b.calls != 0 {
+		t.Errorf("%d orders were given", b.calls)
+	}
+}
--- a/coordination/ownership/claim.go
+++ b/coordination/ownership/claim.go
@@ -21,8 +21,9 @@
 	return store.Key{Table: FleetTable, Key: ClaimPrefix + string(id)}
 }
 
-// step renews the lease when it is due, and claims what nobody owns.
-func (o *Ownership) step(c context.Context) {
+// Step renews the lease when it is due, and claims what nobody owns. Run calls
+// it several times a second.
+func (o *Ownership) Step(c context.Context) {
 	now := o.Timer.Boot()
 	o.mu.Lock()
 	leaving, lease, renewed := o.leaving, o.lease, o.renewed
--- a/coordination/ownership/ownership.go
+++ b/coordination/ownership/ownership.go
@@ -113,7 +113,7 @@
 
 // Run renews and claims until c ends.
 func (o *Ownership) Run(c context.Context) {
-	o.Timer.Subscribe(c, tick, func(time.Time) { o.step(c) })
+	o.Timer.Subscribe(c, tick, func(time.Time) { o.Step(c) })
 }
 
 // Changed takes over rows of FleetTable.
--- /dev/null
+++ b/standin/memory/memory.go
@@ -0,0 +1,138 @@
+// Package memory is a stand-in of the platform's transactional store in the
+// memory of a process, with the faults that the platform states.
+package memory
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+
+	"gentiangauge.example/gentiangauge/state/mirror"
+	"gentiangauge.example/gentiangauge/transport/store"
+)
+
+// Store keeps rows. The function fields are seams for faults; each is asked
+// at the call that it names, and nil means that nothing goes wrong.
+type Store struct {
+	// Fault returns an error instead of the answer. Done says whether the
+	// call takes effect all the same.
+	Fault func(call string) (done bool, err error)
+
+	mu      sync.Mutex
+	version mirror.Version
+	rows    map[store.Key]mirror.Row
+	// forgotten is the version up to which the history was discarded.
+	forgotten mirror.Version
+	changed   chan struct{}
+}
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{rows: map[store.Key]mirror.Row{}, changed: make(chan struct{})}
+}
+
+// Client returns the calls of the store.
+func (s *Store) Client() *store.Store {
+	return &store.Store{Transact: s.transact, Read: s.read, Watch: s.watch}
+}
+
+func (s *Store) fault(call string) (bool, error) {
+	if s.Fault == nil {
+		return true, nil
+	}
+	return s.Fault(call)
+}
+
+func (s *Store) transact(_ context.Context, t store.Transaction) (store.Outcome, error) {
+	done, err := s.fault("transact")
+	if !done {
+		return store.Outcome{}, err
+	}
+	o := s.Do(t)
+	return o, err
+}
+
+// Do does a transaction without a fault.
+func (s *Store) Do(t store.Transaction) store.Outcome {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o := store.Outcome{Done: true, Current: map[store.Key]mirror.Row{}}
+	for k, want := range t.Expected {
+		r := s.rows[k]
+		if r.Removed {
+			r = mirror.Row{}
+		}
+		r.Key = k.Key
+		o.Current[k] = r
+		if r.Version != want {
+			o.Done = false
+		}
+	}
+	if !o.Done {
+		return o
+	}
+	s.version++
+	for _, w := range t.Writes {
+		s.rows[w.Key] = mirror.Row{Key: w.Key.Key, Value: slices.Clone(w.Value), Version: s.version}
+	}
+	for _, k := range t.Removals {
+		s.rows[k] = mirror.Row{Key: k.Key, Version: s.version, Removed: true}
+	}
+	o.Version = s.version
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return o
+}
+
+// Forget discards the history.
+func (s *Store) Forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.forgotten = s.version
+	maps.DeleteFunc(s.rows, func(_ store.Key, r mirror.Row) bool { return r.Removed })
+}
+
+func (s *Store) read(_ context.Context, table string) ([]mirror.Row, mirror.Version, error) {
+	if done, err := s.fault("read"); !done || err != nil {
+		return nil, 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.since(table, -1, false), s.version, nil
+}
+
+func (s *Store) since(table string, after mirror.Version, removed bool) []mirror.Row {
+	var out []mirror.Row
+	for k, r := range s.rows {
+		if k.Table == table && r.Version > after && (removed || !r.Removed) {
+			out = append(out, r)
+		}
+	}
+	slices.SortFunc(out, func(a, b mirror.Row) int { return strings.Compare(a.Key, b.Key) })
+	return out
+}
+
+func (s *Store) watch(c context.Context, table string, after mirror.Version) ([]mirror.Row, mirror.Version, error) {
+	for {
+		if done, err := s.fault("watch"); !done || err != nil {
+			return nil, 0, err
+		}
+		s.mu.Lock()
+		if after < s.forgotten {
+			s.mu.Unlock()
+			return nil, 0, store.ErrForgotten
+		}
+		rows, v, changed := s.since(table, after, true), s.version, s.changed
+		s.mu.Unlock()
+		if len(rows) > 0 {
+			return rows, v, nil
+		}
+		select {
+		case <-changed:
+		case <-c.Done():
+			return nil, 0, store.ErrUnavailable
+		}
+	}
+}
--- /dev/null
+++ b/state/mirror/mirror_test.go
@@ -0,0 +1,71 @@
+package mirror_test
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"gentiangauge.example/gentiangauge/state/mirror"
+)
+
+func row(key, value string, v mirror.Version) mirror.Row {
+	return mirror.Row{Key: key, Value: []byte(value), Version: v}
+}
+
+func TestOlderRowNeverReplacesNewer(t *testing.T) {
+	m := mirror.New()
+	m.Apply([]mirror.Row{row("a", "new", 9)}, 9)
+	if c := m.Apply([]mirror.Row{row("a", "old", 4), {Key: "a", Version: 9, Removed: true}}, 4); len(c) != 0 {
+		t.Errorf("changed %v, want nothing", c)
+	}
+	if r, ok := m.Row("a"); !ok || string(r.Value) != "new" {
+		t.Errorf("row %v %v, want new", r, ok)
+	}
+}
+
+func TestReplaceRemovesWhatIsMissingAndNotNewer(t *testing.T) {
+	m := mirror.New()
+	m.Apply([]mirror.Row{row("gone", "x", 2), row("young", "x", 8)}, 8)
+	m.Replace([]mirror.Row{row("kept", "x", 3)}, 5)
+	for key, want := range map[string]bool{"gone": false, "young": true, "kept": true} {
+		if _, ok := m.Row(key); ok != want {
+			t.Errorf("row %s there: %v, want %v", key, ok, want)
+		}
+	}
+	if !m.Loaded() {
+		t.Error("a replaced table counts as loaded")
+	}
+}
+
+// TestMirrorsThatExchangeRowsAgree lets two mirrors read the same history in
+// parts and in any order, and then hand each other what the other lacks.
+func TestMirrorsThatExchangeRowsAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var history []mirror.Row
+		for v := range rapid.IntRange(1, 30).Draw(t, "rows") {
+			k := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key")
+			history = append(history, mirror.Row{Key: k, Version: mirror.Version(v + 1), Removed: rapid.Bool().Draw(t, "removed")})
+		}
+		x, y := mirror.New(), mirror.New()
+		for _, r := range rapid.Permutation(history).Draw(t, "order") {
+			if rapid.Bool().Draw(t, "first") {
+				x.Apply([]mirror.Row{r}, 0)
+			} else {
+				y.Apply([]mirror.Row{r}, 0)
+			}
+		}
+		x.Apply(y.Since(0), 0)
+		y.Apply(x.Since(0), 0)
+		newest := map[string]mirror.Row{}
+		for _, r := range history {
+			newest[r.Key] = r
+		}
+		for k, want := range newest {
+			a, okA := x.Row(k)
+			b, okB := y.Row(k)
+			if okA == want.Removed || okB == want.Removed || okA && (a.Version != want.Version || b.Version != want.Version) {
+				t.Fatalf("row %s: %v %v and %v %v, want %v", k, a, okA, b, okB, want)
+			}
+		}
+	})
+}
--- a/state/pool/pool.go
+++ b/state/pool/pool.go
@@ -31,8 +31,8 @@
 }
 
 // Tag returns the tag of an upstream.
-func (id ID) Tag() Tag {
-	return Tag(xxhash.Sum64String(string(id)))
+func (i ID) Tag() Tag {
+	return Tag(xxhash.Sum64String(string(i)))
 }
 
 // Held is an adapter on an upstream.
