--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build check demo demo-up lint test generate bench
+.PHONY: soak build check demo demo-up lint test generate bench
 
 build:
 	go build -o bin/gentiangauge .
@@ -27,3 +27,7 @@
 
 bench:
 	go test -run '^$$' -bench . ./...
+
+# Injects faults into real processes: make soak SEED=7 SECONDS=60.
+soak:
+	SOAK_SEED=$(or $(SEED),1) SOAK_SECONDS=$(or $(SECONDS),60) go test -count=1 -timeout 30m -run '^TestSoak$$' -v ./platform
--- a/coordination/feed/feed.go
+++ b/coordination/feed/feed.go
@@ -19,6 +19,8 @@
 const (
 	minRetry = 100 * time.Millisecond
 	maxRetry = 800 * time.Millisecond
+	// idleLook is the time between two looks at whether a feed is still idle.
+	idleLook = 200 * time.Millisecond
 )
 
 // Feed keeps the mirror of one table.
@@ -30,6 +32,9 @@
 	// Gap is the least time between two calls, for tables whose rows change
 	// all the time.
 	Gap time.Duration
+	// Idle reports whether another instance reads the table for this one. A
+	// nil function means that none does.
+	Idle func() bool
 
 	store *store.Store
 	timer *timer.Service
@@ -53,6 +58,10 @@
 	pause := minRetry
 	complete := false
 	for c.Err() == nil {
+		if complete && f.Idle != nil && f.Idle() {
+			_ = f.timer.Wait(c, idleLook)
+			continue
+		}
 		err := f.step(c, complete)
 		switch {
 		case err == nil:
@@ -121,6 +130,13 @@
 	f.began = f.began || good
 }
 
+// Failing reports whether the last call failed.
+func (f *Feed) Failing() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.failing || !f.began
+}
+
 // Steady reports whether the store has answered without a failure for d.
 func (f *Feed) Steady(now, d time.Duration) bool {
 	f.mu.Lock()
--- a/coordination/gossip/gossip.go
+++ b/coordination/gossip/gossip.go
@@ -19,8 +19,13 @@
 // Interval is the time between two beats. Its price is one datagram a peer.
 const Interval = 150 * time.Millisecond
 
-// silentAfter is the time without a beat after which a peer counts as silent.
-const silentAfter = time.Second
+// farBeats is the number of beats of which other availability zones get one,
+// since bytes between zones are paid for.
+const farBeats = 3
+
+// silentAfter is the time without a beat after which a peer counts as silent:
+// two beats between zones may be lost.
+const silentAfter = 1500 * time.Millisecond
 
 // maxDatagram is the largest beat that is sent.
 const maxDatagram = 32 << 10
@@ -37,8 +42,10 @@
 	Compose func() Beat
 	// Heard is called with each new beat of another instance.
 	Heard func(b Beat)
-	// Addresses returns where the other instances listen.
-	Addresses func() []netip.AddrPort
+	// Addresses returns where the other instances listen: those that are told
+	// with each beat, and those, in other availability zones, that are told
+	// with each farBeats-th one.
+	Addresses func() (near, far []netip.AddrPort)
 
 	name  string
 	timer *timer.Service
@@ -64,20 +71,25 @@
 	g.timer.Subscribe(c, Interval, func(time.Time) { g.Send() })
 }
 
-// Send sends one beat to all peers.
+// Send sends one beat.
 func (g *Gossip) Send() {
 	b := g.Compose()
 	b.Name = g.name
 	g.mu.Lock()
 	g.seq++
 	b.Sequence = g.seq
+	toFar := g.seq%farBeats == 0
 	g.mu.Unlock()
 	data, err := encode(b)
 	if err != nil || len(data) > maxDatagram {
 		g.log.Error("beat cannot be sent", zap.Int("bytes", len(data)), zap.Error(err))
 		return
 	}
-	for _, a := range g.Addresses() {
+	addresses, far := g.Addresses()
+	if toFar {
+		addresses = append(addresses, far...)
+	}
+	for _, a := range addresses {
 		// A datagram that cannot be sent is like a lost one.
 		_, _ = g.conn.WriteTo(data, net.UDPAddrFromAddrPort(a))
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -32,7 +32,7 @@
 
 // upstreamGap is the least time between two looks at the list of upstreams,
 // of which some row changes many times a second.
-const upstreamGap = 700 * time.Millisecond
+const upstreamGap = 500 * time.Millisecond
 
 // timelineEvents is the number of events that an instance keeps.
 const timelineEvents = 256
@@ -102,6 +102,9 @@
 	versions  versions
 	members   members
 	leaving   atomic.Bool
+	// storeLost is the last instant at which a peer said that the store does
+	// not answer.
+	storeLost atomic.Int64
 	life      context.Context
 	conn      net.PacketConn
 	behind    map[string]int
@@ -122,7 +125,7 @@
 	recorder := timeline.New(k.Name, timelineEvents, t.Now)
 	e.mesh = mesh.New(k.PeerAddress, mesh.Clock{Tick: recorder.Tick, Observe: recorder.Observe})
 	e.gossip = gossip.New(k.Name, conn, t, log)
-	e.gossip.Compose, e.gossip.Heard, e.gossip.Addresses = e.compose, e.heard, e.members.addresses
+	e.gossip.Compose, e.gossip.Heard, e.gossip.Addresses = e.compose, e.heard, e.addresses
 	e.newFeeds(log)
 	e.newDuties(r, log)
 	e.handle()
@@ -137,7 +140,8 @@
 	} {
 		e.feeds[table] = feed.New(table, e.Store, e.timer, log, changed)
 	}
-	e.feeds[e.Tables.Upstreams].Gap = upstreamGap
+	u := e.feeds[e.Tables.Upstreams]
+	u.Gap, u.Idle = upstreamGap, func() bool { return !e.reads(e.Tables.Upstreams) }
 }
 
 func (e *Entry) newDuties(r prometheus.Registerer, log *zap.Logger) {
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"gentiangauge.example/gentiangauge/coordination/feed"
@@ -79,14 +80,34 @@
 	delete(m.known, name)
 }
 
-func (m *members) addresses() []netip.AddrPort {
+// addresses returns where the instances of this availability zone and those
+// of others listen.
+func (e *Entry) addresses() (near, far []netip.AddrPort) {
+	m := &e.members
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	out := make([]netip.AddrPort, 0, len(m.known))
 	for _, x := range m.known {
-		out = append(out, x.peer)
+		if x.zone == e.Zone {
+			near = append(near, x.peer)
+		} else {
+			far = append(far, x.peer)
+		}
 	}
-	return out
+	return near, far
+}
+
+// reads reports whether this instance reads a table for its availability
+// zone: it is the first in the order of the table among those that reach the
+// store.
+func (e *Entry) reads(table string) bool {
+	weight := func(name string) uint64 { return xxhash.Sum64String(table + "/" + name) }
+	own := weight(e.Name)
+	for _, p := range e.gossip.Live(e.timer.Boot()) {
+		if p.Zone == e.Zone && p.Serving && !p.StoreLost && weight(p.Name) > own {
+			return false
+		}
+	}
+	return true
 }
 
 // fleetChanged takes over rows of members and claims.
@@ -146,7 +167,7 @@
 	now := e.timer.Boot()
 	lease, surrendered := e.ownership.Lease(now)
 	b := gossip.Beat{
-		Run: e.run, Serving: e.Ready(), Uptime: now - e.began, Lease: lease, Surrendered: surrendered,
+		Run: e.run, Serving: e.Ready(), Zone: e.Zone, StoreLost: e.feeds[e.Tables.Configuration].Failing() || e.feeds[e.Tables.Upstreams].Failing(), Uptime: now - e.began, Lease: lease, Surrendered: surrendered,
 		Uses: e.pool.OwnUses(), Held: map[pool.Tag]gossip.Places{}, Loading: e.orders.Own(),
 		Versions: map[string]mirror.Version{},
 	}
@@ -181,6 +202,9 @@
 // heard takes over what another instance tells.
 func (e *Entry) heard(b gossip.Beat) {
 	now := e.timer.Boot()
+	if b.StoreLost && b.Uptime > steadyTime {
+		e.storeLost.Store(int64(now))
+	}
 	e.pool.SetPeer(b.Name, b.Uses)
 	e.quota.heard(b, now-e.began, now)
 	for _, u := range e.pool.Upstreams(now) {
@@ -230,7 +254,8 @@
 	mine := f.Mirror.Newest()
 	var best gossip.Peer
 	for _, p := range e.gossip.Live(e.timer.Boot()) {
-		if p.Versions[table] > max(mine, best.Versions[table]) {
+		v, b := p.Versions[table], best.Versions[table]
+		if v > mine && (best.Name == "" || p.Zone == e.Zone && best.Zone != e.Zone || p.Zone == best.Zone && v > b) {
 			best = p
 		}
 	}
@@ -238,7 +263,7 @@
 		e.behind[table] = 0
 		return
 	}
-	if e.behind[table]++; e.behind[table] < behindLimit {
+	if e.behind[table]++; e.behind[table] < behindLimit && (f.Idle == nil || !f.Idle()) {
 		return
 	}
 	m, ok := e.members.get(best.Name)
@@ -252,7 +277,7 @@
 		e.log.Warn("newer rows cannot be read", zap.String("table", table), zap.String("from", best.Name), zap.Error(err))
 		return
 	}
-	e.log.Info("newer rows read", zap.String("table", table), zap.String("from", best.Name), zap.Int("rows", len(r.Rows)),
+	e.log.Debug("newer rows read", zap.String("table", table), zap.String("from", best.Name), zap.Int("rows", len(r.Rows)),
 		zap.Int64("had", int64(mine)), zap.Int64("has", int64(best.Versions[table])))
 	f.Learn(r.mirrorRows())
 }
