feed, ownership: every instance reads upstreams, less often

Change: everyone reads every 1.1 s; leases of 3 s renewed each 1.5 s; a conflict pauses the engine's orders.

--- a/coordination/feed/feed.go
+++ b/coordination/feed/feed.go
@@ -19,8 +19,6 @@
 const (
 	minRetry = 100 * time.Millisecond
 	maxRetry = 800 * time.Millisecond
-	// idleLook is the time between two looks at whether a feed is still idle.
-	idleLook = 200 * time.Millisecond
 )
 
 // Feed keeps the mirror of one table.
@@ -32,9 +30,6 @@
 	// Gap is the least time between two calls, for tables whose rows change
 	// all the time.
 	Gap time.Duration
-	// Idle reports whether another instance reads the table for this one. A
-	// nil function means that none does.
-	Idle func() bool
 
 	store *store.Store
 	timer *timer.Service
@@ -58,10 +53,6 @@
 	pause := minRetry
 	complete := false
 	for c.Err() == nil {
-		if complete && f.Idle != nil && f.Idle() {
-			_ = f.timer.Wait(c, idleLook)
-			continue
-		}
 		err := f.step(c, complete)
 		switch {
 		case err == nil:
--- a/coordination/gossip/gossip.go
+++ b/coordination/gossip/gossip.go
@@ -21,7 +21,7 @@
 
 // farBeats is the number of beats of which other availability zones get one,
 // since bytes between zones are paid for.
-const farBeats = 3
+const farBeats = 2
 
 // silentAfter is the time without a beat after which a peer counts as silent:
 // two beats between zones may be lost.
--- a/coordination/orders/orders.go
+++ b/coordination/orders/orders.go
@@ -227,6 +227,11 @@
 		o.Ownership.Fenced(e.upstream.ID)
 		e.synced = false
 		return a, ownership.ErrNotOwner
+	case Conflict:
+		// The engine is at another order, or an order without an answer was
+		// carried out. Asking again at once would not help.
+		e.synced, e.orderedAt = false, o.Timer.Boot()
+		return a, ErrUnsure
 	default:
 		e.synced = false
 		return a, ErrUnsure
--- a/coordination/ownership/ownership.go
+++ b/coordination/ownership/ownership.go
@@ -37,13 +37,13 @@
 
 const (
 	// leaseTime is the time after a renewal in which orders are given. It
-	// leaves a renewal and a half to fail.
-	leaseTime = 2400 * time.Millisecond
+	// leaves one renewal to fail.
+	leaseTime = 3000 * time.Millisecond
 	// renewal is the time between renewals. Each costs a write call.
-	renewal = time.Second
+	renewal = 1500 * time.Millisecond
 	// takeoverAfter is the silence of an owner after which its claims are
 	// taken over: leaseTime and what two clocks may drift and wait.
-	takeoverAfter = 3200 * time.Millisecond
+	takeoverAfter = 3800 * time.Millisecond
 	// settle is the time after the start before unowned upstreams are claimed,
 	// in which the other instances of a starting fleet are heard.
 	settle = 700 * time.Millisecond
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -30,9 +30,14 @@
 	"gentiangauge.example/gentiangauge/transport/store"
 )
 
-// upstreamGap is the least time between two looks at the list of upstreams,
-// of which some row changes many times a second.
-const upstreamGap = 500 * time.Millisecond
+const (
+	// upstreamGap is the least time between two looks at the list of upstreams,
+	// of which some row changes many times a second. Half of the time in which
+	// a leaving upstream must get no more requests is left for the rest.
+	upstreamGap = 1100 * time.Millisecond
+	// fleetGap gathers the claims of a fleet that starts.
+	fleetGap = 400 * time.Millisecond
+)
 
 // timelineEvents is the number of events that an instance keeps.
 const timelineEvents = 256
@@ -107,7 +112,7 @@
 	storeLost atomic.Int64
 	life      context.Context
 	conn      net.PacketConn
-	behind    map[string]int
+	behind    map[string]behind
 }
 
 // New returns an instance that is not started. It fails when the peer address
@@ -119,7 +124,7 @@
 	}
 	e := &Entry{
 		Config: k, Adapter: a, timer: t, log: log.Named("entry"), run: time.Duration(t.Now().UnixNano()).Milliseconds(), began: t.Boot(),
-		pool: pool.New(), feeds: map[string]*feed.Feed{}, life: c, conn: conn, behind: map[string]int{},
+		pool: pool.New(), feeds: map[string]*feed.Feed{}, life: c, conn: conn, behind: map[string]behind{},
 		quota: newQuota(), versions: versions{known: map[pool.Adapter]versionState{}}, members: members{known: map[string]member{}},
 	}
 	recorder := timeline.New(k.Name, timelineEvents, t.Now)
@@ -140,8 +145,8 @@
 	} {
 		e.feeds[table] = feed.New(table, e.Store, e.timer, log, changed)
 	}
-	u := e.feeds[e.Tables.Upstreams]
-	u.Gap, u.Idle = upstreamGap, func() bool { return !e.reads(e.Tables.Upstreams) }
+	e.feeds[e.Tables.Upstreams].Gap = upstreamGap
+	e.feeds[ownership.FleetTable].Gap = fleetGap
 }
 
 func (e *Entry) newDuties(r prometheus.Registerer, log *zap.Logger) {
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -9,7 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"gentiangauge.example/gentiangauge/coordination/feed"
@@ -96,20 +95,6 @@
 	return near, far
 }
 
-// reads reports whether this instance reads a table for its availability
-// zone: it is the first in the order of the table among those that reach the
-// store.
-func (e *Entry) reads(table string) bool {
-	weight := func(name string) uint64 { return xxhash.Sum64String(table + "/" + name) }
-	own := weight(e.Name)
-	for _, p := range e.gossip.Live(e.timer.Boot()) {
-		if p.Zone == e.Zone && p.Serving && !p.StoreLost && weight(p.Name) > own {
-			return false
-		}
-	}
-	return true
-}
-
 // fleetChanged takes over rows of members and claims.
 func (e *Entry) fleetChanged(rows []mirror.Row) {
 	e.ownership.Changed(rows)
@@ -245,25 +230,34 @@
 	}
 }
 
-// behindLimit is the number of looks in a row at which another instance knows
-// newer rows before they are asked for.
-const behindLimit = 2
+// behind is a version of a table that a peer has told of.
+type behind struct {
+	version mirror.Version
+	since   time.Duration
+}
+
+// behindTime is how long a table may be behind what a peer tells before its
+// rows are asked for, beside the time between two looks at it.
+const behindTime = 400 * time.Millisecond
 
 // catchUp asks another instance for rows that the store has not told yet.
 func (e *Entry) catchUp(c context.Context, table string, f *feed.Feed) {
-	mine := f.Mirror.Newest()
+	mine, now := f.Mirror.Newest(), e.timer.Boot()
 	var best gossip.Peer
-	for _, p := range e.gossip.Live(e.timer.Boot()) {
-		v, b := p.Versions[table], best.Versions[table]
-		if v > mine && (best.Name == "" || p.Zone == e.Zone && best.Zone != e.Zone || p.Zone == best.Zone && v > b) {
+	for _, p := range e.gossip.Live(now) {
+		if p.Versions[table] > max(mine, best.Versions[table]) {
 			best = p
 		}
 	}
-	if best.Name == "" {
-		e.behind[table] = 0
+	b := e.behind[table]
+	switch {
+	case best.Name == "":
+		delete(e.behind, table)
 		return
-	}
-	if e.behind[table]++; e.behind[table] < behindLimit && (f.Idle == nil || !f.Idle()) {
+	case mine >= b.version:
+		e.behind[table] = behind{version: best.Versions[table], since: now}
+		return
+	case now-b.since < f.Gap+behindTime && !f.Failing():
 		return
 	}
 	m, ok := e.members.get(best.Name)
