--- a/coordination/feed/feed.go
+++ b/coordination/feed/feed.go
@@ -112,8 +112,6 @@
 		f.failing = false
 		f.restored = f.timer.Boot()
 		f.log.Info("store regained")
-	case good && !f.began:
-		f.restored = f.timer.Boot()
 	case !good && !f.failing:
 		f.failing = true
 		f.log.Warn("store lost", zap.Error(err))
@@ -128,9 +126,10 @@
 	return f.failing || !f.began
 }
 
-// Steady reports whether the store has answered without a failure for d.
+// Steady reports whether the store has answered without a failure for d, or
+// since the start: what lapsed before was not in the table that was read then.
 func (f *Feed) Steady(now, d time.Duration) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.began && !f.failing && now-f.restored >= d
+	return f.began && !f.failing && (f.restored == 0 || now-f.restored >= d)
 }
--- a/coordination/gossip/beat.go
+++ b/coordination/gossip/beat.go
@@ -26,10 +26,6 @@
 	Sequence int64
 	// Serving is set while the instance takes new connections.
 	Serving bool
-	// Zone is the availability zone, StoreLost is set while the store does not
-	// answer.
-	Zone      string
-	StoreLost bool
 	// Uptime is the time since the start.
 	Uptime time.Duration
 	// Versions are the versions of the mirrored tables by table.
@@ -65,8 +61,6 @@
 	Held        []*heldMessage   `protobuf:"bytes,11,rep,name=held,proto3"`
 	Loading     int64            `protobuf:"varint,12,opt,name=loading,proto3"`
 	Left        []*amountMessage `protobuf:"bytes,13,rep,name=left,proto3"`
-	Zone        string           `protobuf:"bytes,14,opt,name=zone,proto3"`
-	StoreLost   bool             `protobuf:"varint,15,opt,name=store_lost,proto3"`
 }
 
 type countMessage struct {
@@ -104,7 +98,7 @@
 func (b Beat) message() *beatMessage {
 	m := &beatMessage{
 		Name: b.Name, Run: b.Run, Sequence: b.Sequence, Serving: b.Serving, UptimeMs: b.Uptime.Milliseconds(),
-		Lease: int64(b.Lease), Surrendered: b.Surrendered, Loading: int64(b.Loading), Zone: b.Zone, StoreLost: b.StoreLost,
+		Lease: int64(b.Lease), Surrendered: b.Surrendered, Loading: int64(b.Loading),
 	}
 	for t, v := range b.Versions {
 		m.Versions = append(m.Versions, &countMessage{Name: t, Count: int64(v)})
@@ -152,7 +146,7 @@
 func (m *beatMessage) beat() Beat {
 	b := Beat{
 		Name: m.Name, Run: m.Run, Sequence: m.Sequence, Serving: m.Serving, Uptime: time.Duration(m.UptimeMs) * time.Millisecond,
-		Lease: mirror.Version(m.Lease), Surrendered: m.Surrendered, Loading: int(m.Loading), Zone: m.Zone, StoreLost: m.StoreLost,
+		Lease: mirror.Version(m.Lease), Surrendered: m.Surrendered, Loading: int(m.Loading),
 		Versions: map[string]mirror.Version{}, Spent: amountMap(m.Spent), Left: amountMap(m.Left),
 		Uses: map[pool.Tag]map[pool.Tag]pool.Use{}, Held: map[pool.Tag]Places{},
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -107,9 +107,6 @@
 	versions  versions
 	members   members
 	leaving   atomic.Bool
-	// storeLost is the last instant at which a peer said that the store does
-	// not answer.
-	storeLost atomic.Int64
 	life      context.Context
 	conn      net.PacketConn
 	behind    map[string]behind
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -152,7 +152,7 @@
 	now := e.timer.Boot()
 	lease, surrendered := e.ownership.Lease(now)
 	b := gossip.Beat{
-		Run: e.run, Serving: e.Ready(), Zone: e.Zone, StoreLost: e.feeds[e.Tables.Configuration].Failing() || e.feeds[e.Tables.Upstreams].Failing(), Uptime: now - e.began, Lease: lease, Surrendered: surrendered,
+		Run: e.run, Serving: e.Ready(), Uptime: now - e.began, Lease: lease, Surrendered: surrendered,
 		Uses: e.pool.OwnUses(), Held: map[pool.Tag]gossip.Places{}, Loading: e.orders.Own(),
 		Versions: map[string]mirror.Version{},
 	}
@@ -187,9 +187,6 @@
 // heard takes over what another instance tells.
 func (e *Entry) heard(b gossip.Beat) {
 	now := e.timer.Boot()
-	if b.StoreLost && b.Uptime > steadyTime {
-		e.storeLost.Store(int64(now))
-	}
 	e.pool.SetPeer(b.Name, b.Uses)
 	e.quota.heard(b, now-e.began, now)
 	for _, u := range e.pool.Upstreams(now) {
--- a/entry/rows.go
+++ b/entry/rows.go
@@ -112,18 +112,11 @@
 	}
 }
 
-// storeSteady reports whether neither this instance nor a peer has lately
-// seen the store fail.
-func (e *Entry) storeSteady(now time.Duration) bool {
-	return now-time.Duration(e.storeLost.Load()) > steadyTime &&
-		e.feeds[e.Tables.Configuration].Steady(now, steadyTime) && e.feeds[e.Tables.Upstreams].Steady(now, steadyTime)
-}
-
 // removeUpstream drops an upstream, at once while the store is reachable, and
 // otherwise after the time in which rows of living upstreams return.
 func (e *Entry) removeUpstream(id pool.ID, now time.Duration) {
 	at := now
-	if !e.storeSteady(now) {
+	if !e.feeds[e.Tables.Upstreams].Steady(now, steadyTime) {
 		at += returnTime
 	}
 	e.pool.Remove(id, at)
