--- a/coordination/gossip/gossip.go
+++ b/coordination/gossip/gossip.go
@@ -16,16 +16,21 @@
 	"gentiangauge.example/gentiangauge/transport/mesh"
 )
 
-// Interval is the time between two beats. Its price is one datagram a peer.
+// Interval is the least time between two beats. Its price is one datagram a
+// peer.
 const Interval = 150 * time.Millisecond
 
 // farBeats is the number of beats of which other availability zones get one,
 // since bytes between zones are paid for.
 const farBeats = 2
 
-// silentAfter is the time without a beat after which a peer counts as silent:
-// two beats between zones may be lost.
-const silentAfter = 1500 * time.Millisecond
+// perPeer is the time between beats for each peer, so that a large fleet does
+// not spend all its time on them: at 118 instances a beat each 0.5 s.
+const perPeer = 4 * time.Millisecond
+
+// minSilence is the least time without a beat after which a peer counts as
+// silent: two beats between zones may be lost.
+const minSilence = 1500 * time.Millisecond
 
 // maxDatagram is the largest beat that is sent.
 const maxDatagram = 32 << 10
@@ -68,7 +73,21 @@
 		_ = g.conn.Close()
 	}()
 	go g.receive(c)
-	g.timer.Subscribe(c, Interval, func(time.Time) { g.Send() })
+	for c.Err() == nil {
+		_ = g.timer.Wait(c, g.interval())
+		g.Send()
+	}
+}
+
+func (g *Gossip) interval() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return max(Interval, time.Duration(len(g.peers))*perPeer)
+}
+
+// silence is the time without a beat after which a peer counts as silent.
+func (g *Gossip) silence() time.Duration {
+	return max(minSilence, (farBeats*2+1)*time.Duration(len(g.peers))*perPeer)
 }
 
 // Send sends one beat.
@@ -140,13 +159,20 @@
 	return p, ok
 }
 
-// Live returns the peers that were heard within the last second.
+// Silence returns the time without a beat after which a peer counts as silent.
+func (g *Gossip) Silence() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.silence()
+}
+
+// Live returns the peers that are not silent.
 func (g *Gossip) Live(now time.Duration) []Peer {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var out []Peer
 	for _, p := range g.peers {
-		if now-p.At < silentAfter {
+		if now-p.At < g.silence() {
 			out = append(out, p)
 		}
 	}
@@ -160,7 +186,7 @@
 	defer g.mu.Unlock()
 	var out []Peer
 	for n, p := range g.peers {
-		if now-p.At < silentAfter {
+		if now-p.At < g.silence() {
 			continue
 		}
 		out = append(out, p)
@@ -194,6 +220,6 @@
 	}
 	p.Name, p.Lease = name, v
 	p.Surrendered = false
-	p.At = now - silentAfter
+	p.At = now - g.silence()
 	g.peers[name] = p
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -31,9 +31,6 @@
 )
 
 const (
-	// ownerSilence is the time without a beat, three to another zone, after
-	// which an owner is not asked for loads.
-	ownerSilence = time.Second
 	// upstreamGap is the least time between two looks at the list of upstreams,
 	// of which some row changes many times a second. Half of the time in which
 	// a leaving upstream must get no more requests is left for the rest.
@@ -112,7 +109,10 @@
 	leaving   atomic.Bool
 	life      context.Context
 	conn      net.PacketConn
-	behind    map[string]behind
+	// peers and fetching are the live peers and their adapter loads under way.
+	peers    atomic.Int64
+	fetching atomic.Int64
+	behind   map[string]behind
 }
 
 // New returns an instance that is not started. It fails when the peer address
@@ -163,7 +163,7 @@
 		Take:   func(w *route.Workspace, n float64) (time.Duration, bool) { return e.quota.take(w, n, e.timer.Boot()) },
 		Return: func(w *route.Workspace, n float64) { e.quota.giveBack(w, n, e.timer.Boot()) },
 		Load:   e.load, Orderable: e.orderable, Lost: e.lost, Send: e.Send, Draw: rand.Float64,
-		Peers:   func() int { return len(e.gossip.Live(e.timer.Boot())) },
+		Peers:   func() int { return int(e.peers.Load()) },
 		Metrics: dispatch.NewMetrics(r),
 	})
 }
@@ -260,12 +260,9 @@
 	return x.Engine, true
 }
 
+// loading returns the adapter loads that other owners had under way a beat ago.
 func (e *Entry) loading() int {
-	n := 0
-	for _, p := range e.gossip.Live(e.timer.Boot()) {
-		n += p.Loading
-	}
-	return n
+	return int(e.fetching.Load())
 }
 
 // load has the owner of an engine load an adapter.
@@ -309,7 +306,7 @@
 		return err == nil
 	}
 	p, heard := e.gossip.Peer(owner)
-	return heard && now-p.At < ownerSilence && !p.Surrendered && p.Lease != 0
+	return heard && now-p.At < e.gossip.Silence() && !p.Surrendered && p.Lease != 0
 }
 
 func (e *Entry) lost(id pool.ID, a pool.Adapter) {
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -150,6 +150,7 @@
 // compose returns what this instance tells the others.
 func (e *Entry) compose() gossip.Beat {
 	now := e.timer.Boot()
+	e.countPeers(now)
 	lease, surrendered := e.ownership.Lease(now)
 	b := gossip.Beat{
 		Run: e.run, Serving: e.Ready(), Uptime: now - e.began, Lease: lease, Surrendered: surrendered,
@@ -174,6 +175,16 @@
 	return b
 }
 
+// countPeers sums up what the live peers told.
+func (e *Entry) countPeers(now time.Duration) {
+	live, loading := e.gossip.Live(now), 0
+	for _, p := range live {
+		loading += p.Loading
+	}
+	e.peers.Store(int64(len(live)))
+	e.fetching.Store(int64(loading))
+}
+
 // anyYoung reports whether an instance has just started.
 func (e *Entry) anyYoung(now time.Duration) bool {
 	for _, p := range e.gossip.Live(now) {
@@ -189,9 +200,9 @@
 	now := e.timer.Boot()
 	e.pool.SetPeer(b.Name, b.Uses)
 	e.quota.heard(b, now-e.began, now)
-	for _, u := range e.pool.Upstreams(now) {
-		p, ok := b.Held[u.ID.Tag()]
-		if owner, known := e.ownership.Owner(u.ID); !ok || !known || owner != b.Name {
+	for t, p := range b.Held {
+		id, ok := e.pool.ByTag(t)
+		if owner, known := e.ownership.Owner(id); !ok || !known || owner != b.Name {
 			continue
 		}
 		for a, h := range p.Held {
@@ -200,7 +211,7 @@
 			}
 			p.Held[a] = h
 		}
-		e.pool.SetHeld(u.ID, p.Held, p.Recent)
+		e.pool.SetHeld(id, p.Held, p.Recent)
 	}
 }
 
--- a/state/pool/choose.go
+++ b/state/pool/choose.go
@@ -112,22 +112,9 @@
 	return ok
 }
 
-func (e *entry) busy() Use {
-	var b Use
-	for _, u := range e.own {
-		b.add(*u, 1)
-	}
-	for _, m := range e.peers {
-		for _, u := range m {
-			b.add(u, 1)
-		}
-	}
-	return b
-}
-
 // price returns the choice of the upstream and its cost as a time.
 func (e *entry) price(a Ask, now time.Duration) (Choice, time.Duration) {
-	c := Choice{Upstream: e.Upstream, Busy: e.busy()}
+	c := Choice{Upstream: e.Upstream, Busy: e.total}
 	c.Room = c.Busy.Running < e.Slots/2
 	cost := time.Duration(float64(failurePenalty) * e.health.failing)
 	if e.Zone != a.Zone {
@@ -180,28 +167,17 @@
 		return cost
 	}
 	cost += evictPenalty
-	if ok && e.usesOf(t) > 0 || !ok && e.idleHeld(now) == 0 {
+	if ok && e.running[t] > 0 || !ok && e.idleHeld(now) == 0 {
 		cost += fullPenalty / 2
 	}
 	return cost
 }
 
-func (e *entry) usesOf(a Tag) int {
-	n := 0
-	if o := e.own[a]; o != nil {
-		n = o.Running
-	}
-	for _, m := range e.peers {
-		n += m[a].Running
-	}
-	return n
-}
-
 // idleHeld counts the adapters that no request uses.
 func (e *entry) idleHeld(now time.Duration) int {
 	n := 0
 	for a, h := range e.held {
-		if h.ReadyAt <= now && e.usesOf(a) == 0 {
+		if h.ReadyAt <= now && e.running[a] == 0 {
 			n++
 		}
 	}
--- a/state/pool/pool.go
+++ b/state/pool/pool.go
@@ -84,7 +84,10 @@
 	recent map[Tag]bool
 	own    map[Tag]*Use
 	peers  map[string]map[Tag]Use
-	health health
+	// total is the work of all instances, running that by adapter.
+	total   Use
+	running map[Tag]int
+	health  health
 	// pace is the measured time to the first event over the predicted one.
 	pace float64
 }
@@ -94,11 +97,14 @@
 type Pool struct {
 	mu      sync.Mutex
 	entries map[ID]*entry
+	tags    map[Tag]*entry
+	// seen are the upstreams on which each peer had work.
+	seen map[string][]*entry
 }
 
 // New returns an empty pool.
 func New() *Pool {
-	return &Pool{entries: map[ID]*entry{}}
+	return &Pool{entries: map[ID]*entry{}, tags: map[Tag]*entry{}, seen: map[string][]*entry{}}
 }
 
 // Put adds or updates an upstream. A new start of its process clears what was
@@ -108,20 +114,40 @@
 	defer p.mu.Unlock()
 	e, ok := p.entries[u.ID]
 	if !ok || e.Born != u.Born || e.Address != u.Address {
-		n := &entry{Upstream: u, held: map[Tag]Held{}, own: map[Tag]*Use{}, peers: map[string]map[Tag]Use{}, pace: 1}
+		n := &entry{Upstream: u, held: map[Tag]Held{}, own: map[Tag]*Use{}, peers: map[string]map[Tag]Use{}, running: map[Tag]int{}, pace: 1}
 		for a, v := range u.Adapters {
 			n.held[a.Tag()] = Held{Version: v}
 		}
 		if ok {
-			n.own, n.peers = e.own, e.peers
+			n.own, n.peers, n.total, n.running = e.own, e.peers, e.total, e.running
+			p.replace(e, n)
 		}
-		p.entries[u.ID] = n
+		p.entries[u.ID], p.tags[u.ID.Tag()] = n, n
 		return
 	}
 	e.Upstream = u
 	e.goneAt = 0
 }
 
+// replace puts the new start of an upstream in the place of the old one.
+func (p *Pool) replace(old, new *entry) {
+	for _, l := range p.seen {
+		for i := range l {
+			if l[i] == old {
+				l[i] = new
+			}
+		}
+	}
+}
+
+// count adds work of any instance to the totals.
+func (e *entry) count(t Tag, u Use, sign int) {
+	e.total.add(u, sign)
+	if e.running[t] += sign * u.Running; e.running[t] <= 0 {
+		delete(e.running, t)
+	}
+}
+
 // Remove drops an upstream at an instant.
 func (p *Pool) Remove(id ID, at time.Duration) {
 	p.mu.Lock()
@@ -138,6 +164,7 @@
 	for id, e := range p.entries {
 		if e.goneAt != 0 && now >= e.goneAt && len(e.own) == 0 {
 			delete(p.entries, id)
+			delete(p.tags, id.Tag())
 		}
 	}
 }
@@ -180,6 +207,7 @@
 		e.own[a.Tag()] = o
 	}
 	o.add(u, 1)
+	e.count(a.Tag(), u, 1)
 }
 
 // End takes a request, or the read part of one, off an upstream.
@@ -193,6 +221,7 @@
 	}
 	o := e.own[t]
 	o.add(u, -1)
+	e.count(t, u, -1)
 	if o.Running <= 0 {
 		delete(e.own, t)
 	}
@@ -221,13 +250,39 @@
 func (p *Pool) SetPeer(name string, uses map[Tag]map[Tag]Use) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for id, e := range p.entries {
-		if m := uses[id.Tag()]; len(m) > 0 {
-			e.peers[name] = m
-		} else {
-			delete(e.peers, name)
+	for _, e := range p.seen[name] {
+		for t, u := range e.peers[name] {
+			e.count(t, u, -1)
 		}
+		delete(e.peers, name)
+	}
+	seen := p.seen[name][:0]
+	for id, m := range uses {
+		e, ok := p.tags[id]
+		if !ok || len(m) == 0 {
+			continue
+		}
+		for t, u := range m {
+			e.count(t, u, 1)
+		}
+		e.peers[name] = m
+		seen = append(seen, e)
+	}
+	p.seen[name] = seen
+	if len(seen) == 0 {
+		delete(p.seen, name)
+	}
+}
+
+// ByTag returns the upstream with a tag.
+func (p *Pool) ByTag(t Tag) (ID, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e, ok := p.tags[t]
+	if !ok {
+		return "", false
 	}
+	return e.ID, true
 }
 
 // SetHeld replaces the adapters of an upstream, and those that it loads
@@ -280,7 +335,7 @@
 	if !ok {
 		return 0
 	}
-	return e.usesOf(a.Tag())
+	return e.running[a.Tag()]
 }
 
 // Paced notes the time that a first event took and the time predicted.
