--- a/commands/platform.go
+++ b/commands/platform.go
@@ -8,6 +8,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"gentiangauge.example/gentiangauge/logs"
 	"gentiangauge.example/gentiangauge/platform"
 )
 
@@ -31,5 +32,5 @@
 	c, stop := signal.NotifyContext(c, os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	signal.Ignore(syscall.SIGHUP)
-	return platform.Run(c, file, newLog)
+	return platform.Run(c, file, func(level string) (*logs.Log, error) { return logs.New(level, os.Stdout) })
 }
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -279,7 +279,7 @@
 		e.log.Warn("newer rows cannot be read", zap.String("table", table), zap.String("from", best.Name), zap.Error(err))
 		return
 	}
-	e.log.Debug("newer rows read", zap.String("table", table), zap.String("from", best.Name), zap.Int("rows", len(r.Rows)),
+	e.log.Info("newer rows read", zap.String("table", table), zap.String("from", best.Name), zap.Int("rows", len(r.Rows)),
 		zap.Int64("had", int64(mine)), zap.Int64("has", int64(best.Versions[table])))
 	f.Learn(r.mirrorRows())
 }
