--- a/state/pool/pool.go
+++ b/state/pool/pool.go
@@ -130,11 +130,11 @@
 }
 
 // replace puts the new start of an upstream in the place of the old one.
-func (p *Pool) replace(old, new *entry) {
+func (p *Pool) replace(old, next *entry) {
 	for _, l := range p.seen {
 		for i := range l {
 			if l[i] == old {
-				l[i] = new
+				l[i] = next
 			}
 		}
 	}
