--- /dev/null
+++ b/protocol/dispatch/dispatch_test.go
@@ -0,0 +1,281 @@
+package dispatch_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"gentiangauge.example/gentiangauge/coordination/orders"
+	"gentiangauge.example/gentiangauge/protocol/dispatch"
+	"gentiangauge.example/gentiangauge/refusal"
+	"gentiangauge.example/gentiangauge/state/pool"
+	"gentiangauge.example/gentiangauge/state/route"
+	"gentiangauge.example/gentiangauge/timer"
+	"gentiangauge.example/gentiangauge/transport/relay"
+)
+
+var adapter = pool.Adapter{Model: "m", Name: "a1"}
+
+// bench is a dispatcher beside upstreams that answer as a test says.
+type bench struct {
+	pool *pool.Pool
+	// answer answers the n-th send, counted from 1.
+	answer func(n int, s dispatch.Send) (*dispatch.Answer, error)
+	load   func() (time.Duration, error)
+	sends  []dispatch.Send
+	given  float64
+	d      *dispatch.Dispatcher
+	timer  *timer.Service
+}
+
+func newBench(upstreams int) *bench {
+	b := &bench{pool: pool.New(), timer: timer.New()}
+	for i := range upstreams {
+		b.pool.Put(pool.Upstream{
+			ID: pool.ID(fmt.Sprintf("e%d", i)), Service: "models", Slots: 64, Address: "127.0.0.1:1", Models: map[route.ModelName]route.Version{"m": 1},
+		})
+		b.pool.Put(pool.Upstream{ID: pool.ID(fmt.Sprintf("s%d", i)), Service: "orders", Slots: 6, Address: "127.0.0.1:1"})
+	}
+	b.load = func() (time.Duration, error) { return 0, nil }
+	t := route.New(route.Config{
+		Version: 1,
+		Routes: []route.Route{
+			{Name: "chat", Host: "h", Prefix: "/chat/", Kind: route.Stream, Resumable: true, MaxAttempts: 2, Objective: 100 * time.Millisecond, Targets: []route.Target{{Service: "models", Weight: 1}}},
+			{Name: "once", Host: "h", Prefix: "/once/", Kind: route.Stream, MaxAttempts: 2, Objective: 100 * time.Millisecond, Targets: []route.Target{{Service: "models", Weight: 1}}},
+			{Name: "pay", Host: "h", Prefix: "/pay/", Kind: route.Unsafe, MaxAttempts: 1, Objective: 100 * time.Millisecond, Targets: []route.Target{{Service: "orders", Weight: 1}}},
+			{Name: "look", Host: "h", Prefix: "/look/", Kind: route.Safe, MaxAttempts: 2, Objective: 100 * time.Millisecond, Targets: []route.Target{{Service: "orders", Weight: 1}}},
+		},
+		Services:   []route.Service{{Name: "models", Engine: &route.Engine{CacheTokens: 150_000, AdapterSlots: 6}}, {Name: "orders"}},
+		Workspaces: []route.Workspace{{Name: "guild", Keys: []string{"key"}, ByTokens: true, Rate: 1000, Burst: 1000}},
+	})
+	b.d = dispatch.New(dispatch.Settings{
+		Capacity:   pool.Capacity{TokensPerSecond: 25_800, Step: 8 * time.Millisecond, Load: 255 * time.Millisecond, Reload: 30 * time.Millisecond},
+		RetryRatio: 0.2, RetryBurst: 100,
+	}, dispatch.Services{
+		Timer: b.timer, Pool: b.pool, Log: zap.NewNop(), Table: func() *route.Table { return t },
+		Versions: func(pool.Adapter, time.Duration) (newest, oldest route.Version) { return 0, 0 },
+		Take:     func(_ *route.Workspace, n float64) (time.Duration, bool) { b.given += n; return 0, true },
+		Return:   func(_ *route.Workspace, n float64) { b.given -= n },
+		Load: func(context.Context, pool.ID, pool.Adapter, route.Version) (time.Duration, error) {
+			return b.load()
+		},
+		Lost: func(pool.ID, pool.Adapter) {}, Send: b.send, Peers: func() int { return 0 }, Draw: func() float64 { return 0.5 },
+		Metrics: dispatch.NewMetrics(prometheus.NewRegistry()),
+	})
+	return b
+}
+
+func (b *bench) send(_ context.Context, s dispatch.Send) (*dispatch.Answer, error) {
+	b.sends = append(b.sends, s)
+	return b.answer(len(b.sends), s)
+}
+
+func (b *bench) serve(path string) (*httptest.ResponseRecorder, error) {
+	w := httptest.NewRecorder()
+	q := &dispatch.Request{
+		ID: "r1", Method: http.MethodPost, Host: "h", Path: path, Target: path, Header: http.Header{}, Key: "key",
+		Arrived: b.timer.Boot(), Patience: 2 * time.Second,
+	}
+	if strings.HasPrefix(path, "/chat/") || strings.HasPrefix(path, "/once/") {
+		q.Adapter, q.PromptTokens, q.OutputTokens = adapter, 1000, 24
+	}
+	return w, b.d.Serve(context.Background(), w, q)
+}
+
+// broken is a body that ends in the middle.
+type broken struct{ io.Reader }
+
+func (b broken) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if err == io.EOF {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+func whole(status int, text string) *dispatch.Answer {
+	return &dispatch.Answer{Status: status, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(text)), Signed: true, Matches: true}
+}
+
+func stream(text string, cut bool) *dispatch.Answer {
+	a := whole(http.StatusOK, text)
+	a.Header.Set("Content-Type", "text/event-stream")
+	if cut {
+		a.Body = io.NopCloser(broken{strings.NewReader(text)})
+	}
+	return a
+}
+
+func notRun(status int) *dispatch.Answer {
+	a := whole(status, "")
+	a.Signed, a.NotRun, a.Moved = false, true, status == http.StatusMisdirectedRequest
+	return a
+}
+
+const (
+	firstHalf  = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda"
+	secondHalf = "id: 3\ndata: c\n\n"
+)
+
+func TestCutStreamIsResumedAfterItsLastWholeEvent(t *testing.T) {
+	b := newBench(2)
+	b.answer = func(n int, s dispatch.Send) (*dispatch.Answer, error) {
+		if n == 1 {
+			return stream(firstHalf, true), nil
+		}
+		if s.ResumeAfter != "2" {
+			t.Errorf("resumed after %q, want 2", s.ResumeAfter)
+		}
+		return stream(secondHalf, false), nil
+	}
+	w, err := b.serve("/chat/x")
+	if want := "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"; err != nil || w.Body.String() != want {
+		t.Errorf("error %v, body %q", err, w.Body)
+	}
+	if b.sends[0].Upstream.ID == b.sends[1].Upstream.ID {
+		t.Error("resumed at the upstream that broke off")
+	}
+}
+
+// TestFailedResumeIsCut replays pdl-central trouble-1, where the failure of the
+// second engine was passed on as the end of the stream.
+func TestFailedResumeIsCut(t *testing.T) {
+	b := newBench(2)
+	b.answer = func(n int, _ dispatch.Send) (*dispatch.Answer, error) {
+		if n == 1 {
+			return stream(firstHalf, true), nil
+		}
+		return whole(http.StatusInternalServerError, "failed"), nil
+	}
+	w, err := b.serve("/chat/x")
+	if !errors.Is(err, dispatch.ErrCut) || strings.Contains(w.Body.String(), "failed") {
+		t.Errorf("error %v, body %q", err, w.Body)
+	}
+}
+
+func TestStreamThatCannotBeResumedRunsOnce(t *testing.T) {
+	b := newBench(2)
+	b.answer = func(int, dispatch.Send) (*dispatch.Answer, error) { return stream(firstHalf, true), nil }
+	if _, err := b.serve("/once/x"); !errors.Is(err, dispatch.ErrCut) || len(b.sends) != 1 {
+		t.Errorf("error %v after %d sends", err, len(b.sends))
+	}
+}
+
+func TestUnsafeRequestIsSentAgainOnlyWhereItDidNotRun(t *testing.T) {
+	for _, x := range []struct {
+		name  string
+		first func() (*dispatch.Answer, error)
+		sends int
+		run   refusal.Run
+	}{
+		{"broken connection", func() (*dispatch.Answer, error) { return nil, relay.ErrBroken }, 1, refusal.Unknown},
+		{"answer of another", func() (*dispatch.Answer, error) { a := whole(200, "x"); a.Matches = false; return a, nil }, 1, refusal.Unknown},
+		{"no signature", func() (*dispatch.Answer, error) { a := whole(200, "x"); a.Signed = false; return a, nil }, 1, refusal.Unknown},
+		{"not sent", func() (*dispatch.Answer, error) { return nil, relay.ErrNotSent }, 2, refusal.NotRun},
+		{"rejected", func() (*dispatch.Answer, error) { return notRun(503), nil }, 2, refusal.NotRun},
+		{"moved", func() (*dispatch.Answer, error) { return notRun(421), nil }, 2, refusal.NotRun},
+	} {
+		b := newBench(2)
+		b.answer = func(n int, _ dispatch.Send) (*dispatch.Answer, error) {
+			if n == 1 {
+				return x.first()
+			}
+			return whole(200, "done"), nil
+		}
+		_, err := b.serve("/pay/x")
+		if len(b.sends) != x.sends {
+			t.Errorf("%s: %d sends, want %d", x.name, len(b.sends), x.sends)
+		}
+		if x.sends == 1 && refusal.As(err).Run != x.run {
+			t.Errorf("%s: refused as %v, want %v", x.name, refusal.As(err).Run, x.run)
+		}
+		if !b.sends[0].Once {
+			t.Errorf("%s: sent on a connection that may repeat it", x.name)
+		}
+	}
+}
+
+func TestRefusalNamesWhenToComeBackAndReturnsTheUnits(t *testing.T) {
+	b := newBench(1)
+	b.answer = func(int, dispatch.Send) (*dispatch.Answer, error) { return notRun(503), nil }
+	_, err := b.serve("/pay/x")
+	r := refusal.As(err)
+	if r.Status != http.StatusServiceUnavailable || r.Run != refusal.NotRun || r.RetryAfter <= 0 {
+		t.Errorf("refused with %d, %v, come back in %v", r.Status, r.Run, r.RetryAfter)
+	}
+	if b.given != 0 {
+		t.Errorf("%v units were kept of a request that did not run", b.given)
+	}
+}
+
+// TestRequestWithoutRoomIsRefusedInTime keeps every engine full: the caller is
+// told before its patience ends.
+func TestRequestWithoutRoomIsRefusedInTime(t *testing.T) {
+	b := newBench(3)
+	b.load = func() (time.Duration, error) { return 0, orders.ErrFull }
+	_, err := b.serve("/chat/x")
+	if r := refusal.As(err); r.Code != refusal.Overloaded || r.Run != refusal.NotRun || r.RetryAfter <= 0 {
+		t.Errorf("refused with %v", err)
+	}
+	if len(b.sends) != 0 {
+		t.Errorf("%d sends", len(b.sends))
+	}
+}
+
+func TestFailedSafeRequestIsAnsweredByAnother(t *testing.T) {
+	b := newBench(2)
+	b.answer = func(n int, _ dispatch.Send) (*dispatch.Answer, error) {
+		if n == 1 {
+			return whole(http.StatusInternalServerError, "failed"), nil
+		}
+		return whole(http.StatusOK, "done"), nil
+	}
+	if w, err := b.serve("/look/x"); err != nil || w.Body.String() != "done" {
+		t.Errorf("error %v, body %q", err, w.Body)
+	}
+}
+
+func TestLastFailureOfAnUpstreamIsPassedOn(t *testing.T) {
+	b := newBench(2)
+	b.answer = func(int, dispatch.Send) (*dispatch.Answer, error) {
+		return whole(http.StatusInternalServerError, "failed"), nil
+	}
+	if w, err := b.serve("/look/x"); err != nil || w.Code != http.StatusInternalServerError || w.Body.String() != "failed" {
+		t.Errorf("error %v, status %d, body %q", err, w.Code, w.Body)
+	}
+}
+
+// TestRetriesStayInTheBudget fails every request: the sends beyond the first
+// stay within a fifth of the requests and the burst.
+func TestRetriesStayInTheBudget(t *testing.T) {
+	b := newBench(2)
+	b.answer = func(int, dispatch.Send) (*dispatch.Answer, error) { return whole(http.StatusInternalServerError, "failed"), nil }
+	const requests = 1000
+	for range requests {
+		_, _ = b.serve("/look/x")
+	}
+	if beyond := float64(len(b.sends) - requests); beyond > 0.2*requests+100 {
+		t.Errorf("%v sends beyond the first of %d requests", beyond, requests)
+	}
+}
+
+func TestUnknownKeyAndRoute(t *testing.T) {
+	b := newBench(1)
+	if _, err := b.serve("/none/x"); refusal.As(err).Status != http.StatusNotFound {
+		t.Errorf("refused with %v", err)
+	}
+	w := httptest.NewRecorder()
+	err := b.d.Serve(context.Background(), w, &dispatch.Request{ID: "r", Host: "h", Path: "/pay/x", Header: http.Header{}, Key: "other", Arrived: b.timer.Boot()})
+	if refusal.As(err).Status != http.StatusUnauthorized {
+		t.Errorf("refused with %v", err)
+	}
+}
