ownership: leases of 7 s

Ruled out: orders without a lease (two owners). Change: renewed each 2 s, valid for 7 s, taken over after 8 s of silence; only the engines of an owner that ends wait longer.

--- a/coordination/ownership/ownership.go
+++ b/coordination/ownership/ownership.go
@@ -36,14 +36,16 @@
 )
 
 const (
-	// leaseTime is the time after a renewal in which orders are given. It
-	// leaves one renewal to fail.
-	leaseTime = 3000 * time.Millisecond
+	// leaseTime is the time after a renewal in which orders are given. An
+	// outage of the store, of 4 to 6 s on the users' machines, stops the loads
+	// of all engines once it is over; an owner that ends stops those of its
+	// engines alone until takeoverAfter.
+	leaseTime = 7 * time.Second
 	// renewal is the time between renewals. Each costs a write call.
-	renewal = 1500 * time.Millisecond
+	renewal = 2 * time.Second
 	// takeoverAfter is the silence of an owner after which its claims are
 	// taken over: leaseTime and what two clocks may drift and wait.
-	takeoverAfter = 3800 * time.Millisecond
+	takeoverAfter = 8 * time.Second
 	// settle is the time after the start before unowned upstreams are claimed,
 	// in which the other instances of a starting fleet are heard.
 	settle = 700 * time.Millisecond
