--- a/protocol/dispatch/dispatch.go
+++ b/protocol/dispatch/dispatch.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -193,6 +194,9 @@
 
 func (d *Dispatcher) logRefusal(q *Request, j *job, err error) {
 	r := refusal.As(err)
+	if errors.Is(err, ErrCut) {
+		r = refusal.New(refusal.UpstreamFailed, http.StatusOK, "the answer was begun and cannot be finished").WithRun(refusal.Ran)
+	}
 	f := []zap.Field{
 		zap.String("request", q.ID), zap.String("code", string(r.Code)), zap.Int("status", r.Status), zap.Stringer("run", r.Run),
 		zap.String("reason", r.Text), zap.Duration("age", d.Timer.Boot()-q.Arrived), zap.Duration("retry-after", r.RetryAfter),
@@ -208,5 +212,9 @@
 			zap.String("upstream", string(j.choice.ID)), zap.Duration("predicted", j.choice.First), zap.Int("busy", j.choice.Busy.Running))
 	}
 	d.Metrics.refused(r.Code)
+	if errors.Is(err, ErrCut) {
+		d.Log.Info("cut", append(f, zap.String("last-event", j.lastEvent))...)
+		return
+	}
 	d.Log.Info("refused", f...)
 }
