--- a/coordination/feed/feed.go
+++ b/coordination/feed/feed.go
@@ -19,6 +19,8 @@
 const (
 	minRetry = 100 * time.Millisecond
 	maxRetry = 800 * time.Millisecond
+	// dueLook is the time between two looks at whether a table is due.
+	dueLook = 100 * time.Millisecond
 )
 
 // Feed keeps the mirror of one table.
@@ -30,6 +32,9 @@
 	// Gap is the least time between two calls, for tables whose rows change
 	// all the time.
 	Gap time.Duration
+	// Due reports whether the table is to be read again, after the time given
+	// since the last call. A nil function means that it always is.
+	Due func(idle time.Duration) bool
 
 	store *store.Store
 	timer *timer.Service
@@ -59,9 +64,7 @@
 			complete = true
 			pause = minRetry
 			f.contact(true, nil)
-			if f.Gap > 0 {
-				_ = f.timer.Wait(c, f.Gap)
-			}
+			f.rest(c)
 			continue
 		case c.Err() != nil:
 			return
@@ -76,6 +79,18 @@
 	}
 }
 
+// rest waits until the table is to be read again.
+func (f *Feed) rest(c context.Context) {
+	if f.Gap <= 0 {
+		return
+	}
+	last := f.timer.Boot()
+	_ = f.timer.Wait(c, f.Gap)
+	for c.Err() == nil && f.Due != nil && !f.Due(f.timer.Boot()-last) {
+		_ = f.timer.Wait(c, dueLook)
+	}
+}
+
 func (f *Feed) step(c context.Context, complete bool) error {
 	if !complete {
 		rows, v, err := f.store.Read(c, f.Table)
--- a/coordination/gossip/beat.go
+++ b/coordination/gossip/beat.go
@@ -26,6 +26,12 @@
 	Sequence int64
 	// Serving is set while the instance takes new connections.
 	Serving bool
+	// Zone is the availability zone.
+	Zone string
+	// News is the version of the newest row of an upstream that matters to
+	// requests, StoreUnsteady is set while the store fails or has lately.
+	News          mirror.Version
+	StoreUnsteady bool
 	// Uptime is the time since the start.
 	Uptime time.Duration
 	// Versions are the versions of the mirrored tables by table.
@@ -61,6 +67,9 @@
 	Held        []*heldMessage   `protobuf:"bytes,11,rep,name=held,proto3"`
 	Loading     int64            `protobuf:"varint,12,opt,name=loading,proto3"`
 	Left        []*amountMessage `protobuf:"bytes,13,rep,name=left,proto3"`
+	Zone        string           `protobuf:"bytes,14,opt,name=zone,proto3"`
+	News        int64            `protobuf:"varint,15,opt,name=news,proto3"`
+	Unsteady    bool             `protobuf:"varint,16,opt,name=unsteady,proto3"`
 }
 
 type countMessage struct {
@@ -99,6 +108,7 @@
 	m := &beatMessage{
 		Name: b.Name, Run: b.Run, Sequence: b.Sequence, Serving: b.Serving, UptimeMs: b.Uptime.Milliseconds(),
 		Lease: int64(b.Lease), Surrendered: b.Surrendered, Loading: int64(b.Loading),
+		Zone: b.Zone, News: int64(b.News), Unsteady: b.StoreUnsteady,
 	}
 	for t, v := range b.Versions {
 		m.Versions = append(m.Versions, &countMessage{Name: t, Count: int64(v)})
@@ -147,6 +157,7 @@
 	b := Beat{
 		Name: m.Name, Run: m.Run, Sequence: m.Sequence, Serving: m.Serving, Uptime: time.Duration(m.UptimeMs) * time.Millisecond,
 		Lease: mirror.Version(m.Lease), Surrendered: m.Surrendered, Loading: int(m.Loading),
+		Zone: m.Zone, News: mirror.Version(m.News), StoreUnsteady: m.Unsteady,
 		Versions: map[string]mirror.Version{}, Spent: amountMap(m.Spent), Left: amountMap(m.Left),
 		Uses: map[pool.Tag]map[pool.Tag]pool.Use{}, Held: map[pool.Tag]Places{},
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -112,6 +112,10 @@
 	// peers and fetching are the live peers and their adapter loads under way.
 	peers    atomic.Int64
 	fetching atomic.Int64
+	// news is the version of the newest row of an upstream that matters to
+	// requests, unsteady the last instant at which a peer found the store so.
+	news     atomic.Int64
+	unsteady atomic.Int64
 	behind   map[string]behind
 }
 
@@ -145,7 +149,8 @@
 	} {
 		e.feeds[table] = feed.New(table, e.Store, e.timer, log, changed)
 	}
-	e.feeds[e.Tables.Upstreams].Gap = upstreamGap
+	u := e.feeds[e.Tables.Upstreams]
+	u.Gap, u.Due = upstreamGap, e.readsUpstreams
 	e.feeds[ownership.FleetTable].Gap = fleetGap
 }
 
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -153,7 +153,8 @@
 	e.countPeers(now)
 	lease, surrendered := e.ownership.Lease(now)
 	b := gossip.Beat{
-		Run: e.run, Serving: e.Ready(), Uptime: now - e.began, Lease: lease, Surrendered: surrendered,
+		Run: e.run, Serving: e.Ready(), Zone: e.Zone, News: mirror.Version(e.news.Load()),
+		StoreUnsteady: !e.feeds[e.Tables.Upstreams].Steady(now, steadyTime), Uptime: now - e.began, Lease: lease, Surrendered: surrendered,
 		Uses: e.pool.OwnUses(), Held: map[pool.Tag]gossip.Places{}, Loading: e.orders.Own(),
 		Versions: map[string]mirror.Version{},
 	}
@@ -198,6 +199,9 @@
 // heard takes over what another instance tells.
 func (e *Entry) heard(b gossip.Beat) {
 	now := e.timer.Boot()
+	if b.StoreUnsteady && b.Uptime > steadyTime {
+		e.unsteady.Store(int64(now))
+	}
 	e.pool.SetPeer(b.Name, b.Uses)
 	e.quota.heard(b, now-e.began, now)
 	for t, p := range b.Held {
--- a/entry/rows.go
+++ b/entry/rows.go
@@ -96,6 +96,7 @@
 	for _, r := range rows {
 		id := pool.ID(r.Key)
 		if r.Removed {
+			e.noteNews(r.Version)
 			e.removeUpstream(id, now)
 			continue
 		}
@@ -104,7 +105,8 @@
 			e.log.Warn("upstream cannot be read", zap.String("row", r.Key), zap.Error(err))
 			continue
 		}
-		if old, ok := e.pool.Get(id, now); !ok || old.Draining != u.Draining || old.Born != u.Born || old.Address != u.Address {
+		if old, ok := e.pool.Get(id, now); !ok || old.Draining != u.Draining || old.Born != u.Born || old.Address != u.Address || len(old.Models) != len(u.Models) {
+			e.noteNews(r.Version)
 			e.log.Info("upstream", zap.String("id", r.Key), zap.String("service", string(u.Service)), zap.String("address", u.Address),
 				zap.Bool("draining", u.Draining), zap.Int64("born", u.Born), zap.Int64("row-version", int64(r.Version)))
 		}
@@ -116,7 +118,7 @@
 // otherwise after the time in which rows of living upstreams return.
 func (e *Entry) removeUpstream(id pool.ID, now time.Duration) {
 	at := now
-	if !e.feeds[e.Tables.Upstreams].Steady(now, steadyTime) {
+	if !e.feeds[e.Tables.Upstreams].Steady(now, steadyTime) || e.peersUnsteady(now) {
 		at += returnTime
 	}
 	e.pool.Remove(id, at)
