--- a/commands/commands.go
+++ b/commands/commands.go
@@ -18,7 +18,7 @@
 
 	"gentiangauge.example/gentiangauge/coordination/catalog"
 	"gentiangauge.example/gentiangauge/finding"
-	"gentiangauge.example/gentiangauge/transport/platform"
+	"gentiangauge.example/gentiangauge/transport/provider"
 )
 
 // Exit codes of the program.
@@ -74,11 +74,11 @@
 		return ExitOK
 	case errors.As(err, &l), errors.Is(err, errUsage):
 		return ExitBadInput
-	case errors.As(err, &raced), errors.Is(err, platform.ErrConflict):
+	case errors.As(err, &raced), errors.Is(err, provider.ErrConflict):
 		return ExitRaced
 	case errors.Is(err, catalog.ErrOutcomeUnknown), errors.Is(err, errNotInForce):
 		return ExitUnknown
-	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, errNoInstance):
+	case errors.Is(err, provider.ErrUnavailable), errors.Is(err, errNoInstance):
 		return ExitUnavailable
 	default:
 		return ExitFailed
@@ -108,13 +108,13 @@
 	return nil
 }
 
-func openTable(k *cli.Command) (*platform.Table, *platform.Objects) {
+func openTable(k *cli.Command) (*provider.Table, *provider.Objects) {
 	table := k.String("table")
 	objects := k.String("objects")
 	if objects == "" {
 		objects = table
 	}
-	return platform.NewTable(table, platformTimeout), platform.NewObjects(objects, platformTimeout)
+	return provider.NewTable(table, platformTimeout), provider.NewObjects(objects, platformTimeout)
 }
 
 // show writes v as JSON or the lines as text.
--- a/commands/force.go
+++ b/commands/force.go
@@ -13,7 +13,7 @@
 	"gentiangauge.example/gentiangauge/coordination/lease"
 	"gentiangauge.example/gentiangauge/state/lists"
 	"gentiangauge.example/gentiangauge/timer"
-	"gentiangauge.example/gentiangauge/transport/platform"
+	"gentiangauge.example/gentiangauge/transport/provider"
 )
 
 // errNotInForce says that an accepted change is not known to be in force.
@@ -43,7 +43,7 @@
 // awaitForce waits until a version is in force: every member has installed
 // it, or a majority has and one lease has passed since, so that the others
 // have installed it or stopped.
-func awaitForce(c context.Context, t *platform.Table, v lists.Version, wait time.Duration) error {
+func awaitForce(c context.Context, t *provider.Table, v lists.Version, wait time.Duration) error {
 	c, cancel := context.WithTimeout(c, wait)
 	defer cancel()
 	var majority time.Time
--- a/coordination/booking/booking.go
+++ b/coordination/booking/booking.go
@@ -21,7 +21,7 @@
 	"gentiangauge.example/gentiangauge/state/timeline"
 	"gentiangauge.example/gentiangauge/timer"
 	"gentiangauge.example/gentiangauge/transport/mesh"
-	"gentiangauge.example/gentiangauge/transport/platform"
+	"gentiangauge.example/gentiangauge/transport/provider"
 )
 
 // Call is a call that must not run twice.
@@ -53,7 +53,7 @@
 	Timer    *timer.Service
 	Fleet    *fleet.Fleet
 	Mesh     *mesh.Mesh
-	Table    *platform.Table
+	Table    *provider.Table
 	Recorder *timeline.Recorder
 	Log      *zap.Logger
 	// Instance names this instance in the intents.
--- a/coordination/booking/intent.go
+++ b/coordination/booking/intent.go
@@ -12,7 +12,7 @@
 	"gentiangauge.example/gentiangauge/refusal"
 	"gentiangauge.example/gentiangauge/state/timeline"
 	"gentiangauge.example/gentiangauge/transport/mesh"
-	"gentiangauge.example/gentiangauge/transport/platform"
+	"gentiangauge.example/gentiangauge/transport/provider"
 )
 
 type storedCall struct {
@@ -28,7 +28,7 @@
 }
 
 // intend writes the intent, or returns the answer of an earlier call.
-func (b *Book) intend(k Call, nonce string) (platform.RowVersion, *Answer, error) {
+func (b *Book) intend(k Call, nonce string) (provider.RowVersion, *Answer, error) {
 	for range 3 {
 		err := b.insert(k, nonce, 0)
 		if err == nil {
@@ -36,7 +36,7 @@
 		}
 		row, readErr := b.Table.Get(b.life, k.row())
 		if readErr != nil || row.Version == 0 {
-			if errors.Is(err, platform.ErrConflict) && readErr == nil {
+			if errors.Is(err, provider.ErrConflict) && readErr == nil {
 				continue
 			}
 			b.abandon(nonce)
@@ -63,25 +63,25 @@
 	return 0, nil, refusal.Later(refusal.StoreUnavailable, retryAfter, "the intent could not be written, so the call was not sent")
 }
 
-func (b *Book) insert(k Call, nonce string, version platform.RowVersion) error {
+func (b *Book) insert(k Call, nonce string, version provider.RowVersion) error {
 	s := storedCall{Nonce: nonce, Instance: b.Instance, Mesh: b.MeshAddress, Content: k.Content, AtUnix: b.Timer.Now().Unix()}
 	return b.write(k, s, version)
 }
 
-func (b *Book) write(k Call, s storedCall, version platform.RowVersion) error {
+func (b *Book) write(k Call, s storedCall, version provider.RowVersion) error {
 	v, err := json.Marshal(s)
 	if err != nil {
 		return eris.Wrap(err, "encode call")
 	}
-	return b.Table.Transact(b.life, platform.Transaction{
-		Conditions: []platform.Condition{{Key: k.row(), Version: version}},
-		Puts:       []platform.Put{{Key: k.row(), Value: string(v)}},
+	return b.Table.Transact(b.life, provider.Transaction{
+		Conditions: []provider.Condition{{Key: k.row(), Version: version}},
+		Puts:       []provider.Put{{Key: k.row(), Value: string(v)}},
 	})
 }
 
 // resolve decides about a call whose row another run wrote. Again is true
 // when that run never sent the call, so that this one may.
-func (b *Book) resolve(k Call, row platform.Row, s storedCall) (a *Answer, again bool, err error) {
+func (b *Book) resolve(k Call, row provider.Row, s storedCall) (a *Answer, again bool, err error) {
 	if s.Content != k.Content {
 		return nil, false, refusal.New(refusal.IdempotencyConflict, http.StatusUnprocessableEntity, "the idempotency key was used for another request")
 	}
@@ -110,7 +110,7 @@
 }
 
 // await waits a moment for the answer of a call that another instance runs.
-func (b *Book) await(k Call, row platform.Row) (*Answer, bool, error) {
+func (b *Book) await(k Call, row provider.Row) (*Answer, bool, error) {
 	x, cancel := context.WithTimeout(b.life, retryAfter)
 	defer cancel()
 	for b.Timer.Wait(x, pollInterval) == nil {
@@ -162,14 +162,14 @@
 }
 
 // recordAnswer tries until the answer is in the table or the process ends.
-func (b *Book) recordAnswer(k Call, nonce string, version platform.RowVersion, a Answer) {
+func (b *Book) recordAnswer(k Call, nonce string, version provider.RowVersion, a Answer) {
 	s := storedCall{
 		Nonce: nonce, Instance: b.Instance, Mesh: b.MeshAddress, Content: k.Content, AtUnix: b.Timer.Now().Unix(),
 		Answered: true, Status: a.Status, ContentType: a.ContentType, Body: a.Body,
 	}
 	for {
 		err := b.write(k, s, version)
-		if err == nil || errors.Is(err, platform.ErrConflict) {
+		if err == nil || errors.Is(err, provider.ErrConflict) {
 			b.record(timeline.AnswerRecorded, k, "")
 			return
 		}
@@ -180,9 +180,9 @@
 	}
 }
 
-func (b *Book) remove(k Call, version platform.RowVersion) {
-	_ = b.Table.Transact(b.life, platform.Transaction{
-		Conditions: []platform.Condition{{Key: k.row(), Version: version}},
+func (b *Book) remove(k Call, version provider.RowVersion) {
+	_ = b.Table.Transact(b.life, provider.Transaction{
+		Conditions: []provider.Condition{{Key: k.row(), Version: version}},
 		Deletes:    []string{k.row()},
 	})
 }
--- a/coordination/catalog/catalog.go
+++ b/coordination/catalog/catalog.go
@@ -14,7 +14,7 @@
 	"gentiangauge.example/gentiangauge/state/lists"
 	"gentiangauge.example/gentiangauge/state/timeline"
 	"gentiangauge.example/gentiangauge/transport/mesh"
-	"gentiangauge.example/gentiangauge/transport/platform"
+	"gentiangauge.example/gentiangauge/transport/provider"
 )
 
 // Names of rows in the table.
@@ -72,8 +72,8 @@
 	// parts that act on changes.
 	Installed func(before, after *lists.State)
 
-	table    *platform.Table
-	objects  *platform.Objects
+	table    *provider.Table
+	objects  *provider.Objects
 	recorder *timeline.Recorder
 	state    atomic.Pointer[lists.State]
 
@@ -82,7 +82,7 @@
 }
 
 // New returns an empty catalog.
-func New(t *platform.Table, o *platform.Objects, r *timeline.Recorder) *Catalog {
+func New(t *provider.Table, o *provider.Objects, r *timeline.Recorder) *Catalog {
 	c := &Catalog{Installed: func(_, _ *lists.State) {}, table: t, objects: o, recorder: r}
 	c.state.Store(lists.Empty())
 	return c
@@ -94,7 +94,7 @@
 }
 
 // CatchUp installs every change up to the head from the table. It fails with
-// platform.ErrUnavailable.
+// provider.ErrUnavailable.
 func (c *Catalog) CatchUp(x context.Context, h Head) error {
 	if c.State().Version >= h.Version {
 		return nil
@@ -141,7 +141,7 @@
 		}
 	}
 	if c.State().Version == before {
-		return eris.Wrapf(platform.ErrUnavailable, "no change follows version %d", before)
+		return eris.Wrapf(provider.ErrUnavailable, "no change follows version %d", before)
 	}
 	return nil
 }
--- a/coordination/catalog/writer.go
+++ b/coordination/catalog/writer.go
@@ -13,7 +13,7 @@
 
 	"gentiangauge.example/gentiangauge/state/lists"
 	"gentiangauge.example/gentiangauge/state/timeline"
-	"gentiangauge.example/gentiangauge/transport/platform"
+	"gentiangauge.example/gentiangauge/transport/provider"
 )
 
 // ErrNoChange says that the lists already are as wanted.
@@ -47,14 +47,14 @@
 
 // Writer accepts operators' changes into the table.
 type Writer struct {
-	table   *platform.Table
-	objects *platform.Objects
+	table   *provider.Table
+	objects *provider.Objects
 	// NewID returns a new change id. It is a seam for tests.
 	NewID func() string
 }
 
 // NewWriter returns a writer.
-func NewWriter(t *platform.Table, o *platform.Objects) *Writer {
+func NewWriter(t *provider.Table, o *provider.Objects) *Writer {
 	return &Writer{table: t, objects: o, NewID: newID}
 }
 
@@ -67,7 +67,7 @@
 }
 
 // Read returns the newest accepted lists and the version of the head row.
-func (w *Writer) Read(x context.Context) (*lists.State, platform.RowVersion, error) {
+func (w *Writer) Read(x context.Context) (*lists.State, provider.RowVersion, error) {
 	row, err := w.table.Get(x, HeadRow)
 	if err != nil {
 		return nil, 0, err
@@ -88,13 +88,13 @@
 // accepted version, ErrNoChange, ErrOutcomeUnknown, or the error of build.
 func (w *Writer) Commit(x context.Context, build func(*lists.State) ([]lists.Step, error)) (lists.Version, error) {
 	id := w.NewID()
-	failure := eris.Wrap(platform.ErrConflict, "other operators change the lists at the same time")
+	failure := eris.Wrap(provider.ErrConflict, "other operators change the lists at the same time")
 	for range writeTries {
 		v, err := w.try(x, id, build)
 		switch {
 		case errors.Is(err, ErrOutcomeUnknown):
 			failure = err
-		case !errors.Is(err, platform.ErrConflict):
+		case !errors.Is(err, provider.ErrConflict):
 			return v, err
 		}
 	}
@@ -124,8 +124,8 @@
 	switch {
 	case err == nil:
 		return change.Version, nil
-	case errors.Is(err, platform.ErrConflict):
-		return change.Version, w.settle(x, change, platform.ErrConflict)
+	case errors.Is(err, provider.ErrConflict):
+		return change.Version, w.settle(x, change, provider.ErrConflict)
 	default:
 		return change.Version, w.settle(x, change, ErrOutcomeUnknown)
 	}
@@ -147,20 +147,20 @@
 		if err == nil && stored.ID == change.ID {
 			return nil
 		}
-		return platform.ErrConflict
+		return provider.ErrConflict
 	}
 	return unknown
 }
 
-func (w *Writer) transaction(x context.Context, change lists.Change, after *lists.State, head platform.RowVersion) platform.Transaction {
+func (w *Writer) transaction(x context.Context, change lists.Change, after *lists.State, head provider.RowVersion) provider.Transaction {
 	h := Head{Version: change.Version}
 	if old, err := w.table.Get(x, HeadRow); err == nil {
 		previous, _ := DecodeHead(old.Value)
 		h.Snapshot, h.SnapshotVersion = previous.Snapshot, previous.SnapshotVersion
 	}
-	t := platform.Transaction{
-		Conditions: []platform.Condition{{Key: HeadRow, Version: head}, {Key: changeRow(change.Version)}},
-		Puts:       []platform.Put{{Key: changeRow(change.Version), Value: string(lists.EncodeChange(change))}},
+	t := provider.Transaction{
+		Conditions: []provider.Condition{{Key: HeadRow, Version: head}, {Key: changeRow(change.Version)}},
+		Puts:       []provider.Put{{Key: changeRow(change.Version), Value: string(lists.EncodeChange(change))}},
 	}
 	if change.Version%snapshotEvery == 0 {
 		w.snapshot(x, after, &h)
@@ -168,7 +168,7 @@
 	if old := change.Version - keptRows; old > 0 && old < h.SnapshotVersion {
 		t.Deletes = append(t.Deletes, changeRow(old))
 	}
-	t.Puts = append(t.Puts, platform.Put{Key: HeadRow, Value: encodeHead(h)})
+	t.Puts = append(t.Puts, provider.Put{Key: HeadRow, Value: encodeHead(h)})
 	return t
 }
 
--- a/coordination/catalog/writer_test.go
+++ b/coordination/catalog/writer_test.go
@@ -16,7 +16,7 @@
 	"gentiangauge.example/gentiangauge/standin"
 	"gentiangauge.example/gentiangauge/state/lists"
 	"gentiangauge.example/gentiangauge/state/timeline"
-	"gentiangauge.example/gentiangauge/transport/platform"
+	"gentiangauge.example/gentiangauge/transport/provider"
 )
 
 // operation is one step of an operator: add one to the rate, or read it.
@@ -67,13 +67,13 @@
 	return variants
 }
 
-func open(t *testing.T) (*standin.Platform, *platform.Table, *platform.Objects) {
+func open(t *testing.T) (*standin.Platform, *provider.Table, *provider.Objects) {
 	t.Helper()
 	p := standin.NewPlatform()
 	s := httptest.NewServer(p.Handler())
 	t.Cleanup(s.Close)
 	a := s.Listener.Addr().String()
-	return p, platform.NewTable(a, 200*time.Millisecond), platform.NewObjects(a, 200*time.Millisecond)
+	return p, provider.NewTable(a, 200*time.Millisecond), provider.NewObjects(a, 200*time.Millisecond)
 }
 
 const plan = lists.PlanID("p")
@@ -104,7 +104,7 @@
 				call := time.Since(start)
 				if in.write {
 					_, err := increment(w, &out.rate)
-					out.unknown = errors.Is(err, catalog.ErrOutcomeUnknown) || errors.Is(err, platform.ErrUnavailable)
+					out.unknown = errors.Is(err, catalog.ErrOutcomeUnknown) || errors.Is(err, provider.ErrUnavailable)
 					out.failed = err != nil && !out.unknown
 				} else {
 					s, _, err := w.Read(context.Background())
--- a/coordination/fleet/fleet.go
+++ b/coordination/fleet/fleet.go
@@ -15,7 +15,7 @@
 	"gentiangauge.example/gentiangauge/state/timeline"
 	"gentiangauge.example/gentiangauge/timer"
 	"gentiangauge.example/gentiangauge/transport/mesh"
-	"gentiangauge.example/gentiangauge/transport/platform"
+	"gentiangauge.example/gentiangauge/transport/provider"
 )
 
 // Config sets the fleet part of one instance.
@@ -31,8 +31,8 @@
 // Services are the parts that the fleet part works with.
 type Services struct {
 	Timer     *timer.Service
-	Table     *platform.Table
-	Directory *platform.Directory
+	Table     *provider.Table
+	Directory *provider.Directory
 	Mesh      *mesh.Mesh
 	Catalog   *catalog.Catalog
 	Recorder  *timeline.Recorder
@@ -52,7 +52,7 @@
 	mu       sync.Mutex
 	state    *lease.State
 	overlay  map[lease.SeatID]lease.Member
-	listed   []platform.Listed
+	listed   []provider.Listed
 	listedAt time.Time
 	leaving  bool
 	idle     bool
@@ -215,7 +215,7 @@
 }
 
 // Listed returns the platform's list of instances as last read.
-func (f *Fleet) Listed() []platform.Listed {
+func (f *Fleet) Listed() []provider.Listed {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.listed
--- a/coordination/fleet/membership.go
+++ b/coordination/fleet/membership.go
@@ -16,7 +16,7 @@
 	"gentiangauge.example/gentiangauge/state/lists"
 	"gentiangauge.example/gentiangauge/state/timeline"
 	"gentiangauge.example/gentiangauge/transport/mesh"
-	"gentiangauge.example/gentiangauge/transport/platform"
+	"gentiangauge.example/gentiangauge/transport/provider"
 )
 
 const seatBytes = 8
@@ -70,7 +70,7 @@
 	r := f.Members()
 	for _, seat := range f.silentFor() {
 		m, _ := r.Member(seat)
-		shown := slices.ContainsFunc(listed, func(l platform.Listed) bool { return l.ID == m.Instance })
+		shown := slices.ContainsFunc(listed, func(l provider.Listed) bool { return l.ID == m.Instance })
 		if !shown {
 			gone[seat] = true
 		}
@@ -126,7 +126,7 @@
 	switch {
 	case err == nil:
 		f.takeSeat(m, f.Timer.Now(), 0)
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, provider.ErrUnavailable):
 		f.settleJoin(c, m)
 		f.askForSeat(c)
 	}
@@ -278,7 +278,7 @@
 // answer.
 func (f *Fleet) askForSeat(c context.Context) {
 	for _, l := range f.Listed() {
-		if l.Kind != platform.KindEntry || !l.Leaving() || l.ID == f.config.Self.Instance {
+		if l.Kind != provider.KindEntry || !l.Leaving() || l.ID == f.config.Self.Instance {
 			continue
 		}
 		x, cancel := context.WithTimeout(c, pingTimeout)
--- a/coordination/fleet/store.go
+++ b/coordination/fleet/store.go
@@ -7,7 +7,7 @@
 	"github.com/rotisserie/eris"
 
 	"gentiangauge.example/gentiangauge/coordination/lease"
-	"gentiangauge.example/gentiangauge/transport/platform"
+	"gentiangauge.example/gentiangauge/transport/provider"
 )
 
 // Names of rows in the table.
@@ -90,7 +90,7 @@
 
 // ReadRoster returns the roster in the table and the version of its epoch
 // row.
-func ReadRoster(c context.Context, t *platform.Table) (lease.Roster, platform.RowVersion, error) {
+func ReadRoster(c context.Context, t *provider.Table) (lease.Roster, provider.RowVersion, error) {
 	epoch, err := t.Get(c, EpochRow)
 	if err != nil {
 		return lease.Roster{}, 0, err
@@ -104,15 +104,15 @@
 		return lease.Roster{}, 0, err
 	}
 	if r.Epoch != decodeEpoch(epoch.Value) {
-		return lease.Roster{}, 0, eris.Wrap(platform.ErrConflict, "the roster changed while it was read")
+		return lease.Roster{}, 0, eris.Wrap(provider.ErrConflict, "the roster changed while it was read")
 	}
 	return r, epoch.Version, nil
 }
 
-func writeRoster(c context.Context, t *platform.Table, r lease.Roster, version platform.RowVersion) error {
+func writeRoster(c context.Context, t *provider.Table, r lease.Roster, version provider.RowVersion) error {
 	b, _ := json.Marshal(storedEpoch{Epoch: int64(r.Epoch)})
-	return t.Transact(c, platform.Transaction{
-		Conditions: []platform.Condition{{Key: EpochRow, Version: version}},
-		Puts:       []platform.Put{{Key: EpochRow, Value: string(b)}, {Key: RosterRow, Value: string(encodeRoster(r))}},
+	return t.Transact(c, provider.Transaction{
+		Conditions: []provider.Condition{{Key: EpochRow, Version: version}},
+		Puts:       []provider.Put{{Key: EpochRow, Value: string(b)}, {Key: RosterRow, Value: string(encodeRoster(r))}},
 	})
 }
--- a/coordination/placement/client.go
+++ b/coordination/placement/client.go
@@ -11,7 +11,7 @@
 	"gentiangauge.example/gentiangauge/state/lists"
 	"gentiangauge.example/gentiangauge/state/timeline"
 	"gentiangauge.example/gentiangauge/transport/mesh"
-	"gentiangauge.example/gentiangauge/transport/platform"
+	"gentiangauge.example/gentiangauge/transport/provider"
 )
 
 // Wanted is what a request needs.
@@ -223,7 +223,7 @@
 	return views
 }
 
-func (p *Placement) viewOf(l platform.Listed) adapter.View {
+func (p *Placement) viewOf(l provider.Listed) adapter.View {
 	id := adapter.UpstreamID(l.ID)
 	h := p.heard[id]
 	v := h.view
--- a/coordination/placement/open.go
+++ b/coordination/placement/open.go
@@ -13,7 +13,7 @@
 	"gentiangauge.example/gentiangauge/state/adapter"
 	"gentiangauge.example/gentiangauge/state/timeline"
 	"gentiangauge.example/gentiangauge/transport/mesh"
-	"gentiangauge.example/gentiangauge/transport/platform"
+	"gentiangauge.example/gentiangauge/transport/provider"
 )
 
 func (p *Placement) startOpen(c context.Context, s *ownerState, id adapter.UpstreamID) {
@@ -141,13 +141,13 @@
 	})
 }
 
-func (p *Placement) listed(id adapter.UpstreamID) (platform.Listed, bool) {
+func (p *Placement) listed(id adapter.UpstreamID) (provider.Listed, bool) {
 	for _, l := range p.Fleet.Listed() {
 		if l.ID == string(id) {
 			return l, true
 		}
 	}
-	return platform.Listed{}, false
+	return provider.Listed{}, false
 }
 
 // resync takes in what an engine reports about its adapters, unless an order
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -23,7 +23,7 @@
 	"gentiangauge.example/gentiangauge/state/timeline"
 	"gentiangauge.example/gentiangauge/timer"
 	"gentiangauge.example/gentiangauge/transport/mesh"
-	"gentiangauge.example/gentiangauge/transport/platform"
+	"gentiangauge.example/gentiangauge/transport/provider"
 	"gentiangauge.example/gentiangauge/worker"
 )
 
@@ -177,10 +177,10 @@
 }
 
 // engines returns the listed engines that take new work.
-func (p *Placement) engines() []platform.Listed {
-	var all []platform.Listed
+func (p *Placement) engines() []provider.Listed {
+	var all []provider.Listed
 	for _, l := range p.Fleet.Listed() {
-		if l.Kind == platform.KindUpstream && l.Pool == p.config.Pool.Name && !l.Leaving() {
+		if l.Kind == provider.KindUpstream && l.Pool == p.config.Pool.Name && !l.Leaving() {
 			all = append(all, l)
 		}
 	}
--- a/coordination/suspect/suspect.go
+++ b/coordination/suspect/suspect.go
@@ -15,7 +15,7 @@
 	"gentiangauge.example/gentiangauge/state/timeline"
 	"gentiangauge.example/gentiangauge/timer"
 	"gentiangauge.example/gentiangauge/transport/mesh"
-	"gentiangauge.example/gentiangauge/transport/platform"
+	"gentiangauge.example/gentiangauge/transport/provider"
 )
 
 //go:generate go tool stringer -type=Standing -linecomment
@@ -59,7 +59,7 @@
 	Timer    *timer.Service
 	Fleet    *fleet.Fleet
 	Mesh     *mesh.Mesh
-	Table    *platform.Table
+	Table    *provider.Table
 	Recorder *timeline.Recorder
 	Log      *zap.Logger
 }
@@ -200,14 +200,14 @@
 	}
 	r.mu.Unlock()
 	b, _ := json.Marshal(s)
-	err := r.Table.Transact(context.WithoutCancel(c), platform.Transaction{Puts: []platform.Put{{Key: rowPrefix + string(f), Value: string(b)}}})
+	err := r.Table.Transact(context.WithoutCancel(c), provider.Transaction{Puts: []provider.Put{{Key: rowPrefix + string(f), Value: string(b)}}})
 	if err != nil {
 		r.Log.Warn("blocked request is not stored", zap.Error(err))
 	}
 }
 
 // Restore reads the blocked requests that were stored. It fails with
-// platform.ErrUnavailable.
+// provider.ErrUnavailable.
 func (r *Register) Restore(c context.Context) error {
 	rows, err := r.Table.List(c, rowPrefix, "", readLimit)
 	if err != nil {
@@ -229,9 +229,9 @@
 	return nil
 }
 
-func (r *Register) drop(c context.Context, row platform.Row) {
-	_ = r.Table.Transact(c, platform.Transaction{
-		Conditions: []platform.Condition{{Key: row.Key, Version: row.Version}},
+func (r *Register) drop(c context.Context, row provider.Row) {
+	_ = r.Table.Transact(c, provider.Transaction{
+		Conditions: []provider.Condition{{Key: row.Key, Version: row.Version}},
 		Deletes:    []string{row.Key},
 	})
 }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -28,7 +28,7 @@
 	"gentiangauge.example/gentiangauge/state/timeline"
 	"gentiangauge.example/gentiangauge/timer"
 	"gentiangauge.example/gentiangauge/transport/mesh"
-	"gentiangauge.example/gentiangauge/transport/platform"
+	"gentiangauge.example/gentiangauge/transport/provider"
 	"gentiangauge.example/gentiangauge/transport/relay"
 )
 
@@ -38,7 +38,7 @@
 	Timer     *timer.Service
 	Recorder  *timeline.Recorder
 	Mesh      *mesh.Mesh
-	Table     *platform.Table
+	Table     *provider.Table
 	Catalog   *catalog.Catalog
 	Fleet     *fleet.Fleet
 	Quota     *quota.Quota
@@ -71,10 +71,10 @@
 	i.Mesh = mesh.New(s.Instance.MeshAddress, mesh.Clock{Tick: i.Recorder.Tick, Observe: i.Recorder.Observe})
 	i.countMesh()
 	timeout := s.Platform.Timeout.Duration()
-	i.Table = platform.NewTable(s.Platform.TableAddress, timeout)
-	i.Catalog = catalog.New(i.Table, platform.NewObjects(s.Platform.ObjectAddress, timeout), i.Recorder)
+	i.Table = provider.NewTable(s.Platform.TableAddress, timeout)
+	i.Catalog = catalog.New(i.Table, provider.NewObjects(s.Platform.ObjectAddress, timeout), i.Recorder)
 	i.Catalog.Register(i.Mesh)
-	i.newFleet(platform.NewDirectory(s.Platform.DirectoryAddress, timeout))
+	i.newFleet(provider.NewDirectory(s.Platform.DirectoryAddress, timeout))
 	i.newDuties()
 	i.newServer()
 	return i
@@ -90,7 +90,7 @@
 	}
 }
 
-func (i *Instance) newFleet(d *platform.Directory) {
+func (i *Instance) newFleet(d *provider.Directory) {
 	s := i.Settings
 	i.Fleet = fleet.New(fleet.Config{
 		Self: lease.Member{
--- a/proof/adapters_test.go
+++ b/proof/adapters_test.go
@@ -14,7 +14,7 @@
 
 	"gentiangauge.example/gentiangauge/coordination/placement"
 	"gentiangauge.example/gentiangauge/standin"
-	"gentiangauge.example/gentiangauge/transport/platform"
+	"gentiangauge.example/gentiangauge/transport/provider"
 )
 
 // churnPatience is how long a sender waits for an answer.
@@ -178,7 +178,7 @@
 		return busy != ""
 	})
 	s := w.servers[busy]
-	w.platform.Set(busy, platform.KindUpstream, "model", "zone-1", s.Listener.Addr().String(), "", "leaving")
+	w.platform.Set(busy, provider.KindUpstream, "model", "zone-1", s.Listener.Addr().String(), "", "leaving")
 	// The list lags by half a second and is read once a second.
 	const heard = 2500 * time.Millisecond
 	time.Sleep(heard)
--- a/proof/harness_test.go
+++ b/proof/harness_test.go
@@ -27,7 +27,7 @@
 	"gentiangauge.example/gentiangauge/settings"
 	"gentiangauge.example/gentiangauge/standin"
 	"gentiangauge.example/gentiangauge/state/lists"
-	"gentiangauge.example/gentiangauge/transport/platform"
+	"gentiangauge.example/gentiangauge/transport/provider"
 )
 
 const (
@@ -118,7 +118,7 @@
 	w.service = standin.NewService("application")
 	x := httptest.NewServer(w.service.Handler())
 	t.Cleanup(x.Close)
-	w.platform.Set("application-1", platform.KindUpstream, "application", "zone-1", x.Listener.Addr().String(), "", "live")
+	w.platform.Set("application-1", provider.KindUpstream, "application", "zone-1", x.Listener.Addr().String(), "", "live")
 	return w
 }
 
@@ -133,7 +133,7 @@
 	w.t.Cleanup(s.Close)
 	w.engines[name] = e
 	w.servers[name] = s
-	w.platform.Set(name, platform.KindUpstream, "model", "zone-1", s.Listener.Addr().String(), "", "live")
+	w.platform.Set(name, provider.KindUpstream, "model", "zone-1", s.Listener.Addr().String(), "", "live")
 }
 
 func (w *world) runs() []ran {
@@ -230,7 +230,7 @@
 }
 
 func (w *world) list(n *node, state string) {
-	w.platform.Set(n.name, platform.KindEntry, "", "zone-1", n.address, n.mesh, state)
+	w.platform.Set(n.name, provider.KindEntry, "", "zone-1", n.address, n.mesh, state)
 }
 
 // startProcess starts an instance as a process of its own.
@@ -292,21 +292,21 @@
 		return dial(c, a)
 	}
 	list, transact := n.inside.Table.List, n.inside.Table.Transact
-	n.inside.Table.List = func(c context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	n.inside.Table.List = func(c context.Context, prefix, after string, limit int) ([]provider.Row, error) {
 		if !n.reachesTable() {
-			return nil, platform.ErrUnavailable
+			return nil, provider.ErrUnavailable
 		}
 		return list(c, prefix, after, limit)
 	}
-	n.inside.Table.Transact = func(c context.Context, t platform.Transaction) error {
+	n.inside.Table.Transact = func(c context.Context, t provider.Transaction) error {
 		if !n.reachesTable() {
-			return platform.ErrUnavailable
+			return provider.ErrUnavailable
 		}
 		err := transact(c, t)
 		if err == nil && n.firstWrite() && w.loseFirst > 0 {
 			n.setTable(false)
 			time.AfterFunc(w.loseFirst, func() { n.setTable(true) })
-			return platform.ErrUnavailable
+			return provider.ErrUnavailable
 		}
 		return err
 	}
@@ -416,7 +416,7 @@
 }
 
 func (w *world) writer() *catalog.Writer {
-	return catalog.NewWriter(platform.NewTable(w.address, time.Second), platform.NewObjects(w.address, time.Second))
+	return catalog.NewWriter(provider.NewTable(w.address, time.Second), provider.NewObjects(w.address, time.Second))
 }
 
 type planSpec struct {
--- a/protocol/caller/instances.go
+++ b/protocol/caller/instances.go
@@ -8,7 +8,7 @@
 	"gentiangauge.example/gentiangauge/coordination/lease"
 	"gentiangauge.example/gentiangauge/coordination/quota"
 	"gentiangauge.example/gentiangauge/state/lists"
-	"gentiangauge.example/gentiangauge/transport/platform"
+	"gentiangauge.example/gentiangauge/transport/provider"
 )
 
 type instanceMessage struct {
@@ -46,7 +46,7 @@
 	silent := s.Fleet.Silent()
 	leaving := map[string]bool{}
 	for _, l := range s.Fleet.Listed() {
-		leaving[l.ID] = l.Kind == platform.KindEntry && l.Leaving()
+		leaving[l.ID] = l.Kind == provider.KindEntry && l.Leaving()
 	}
 	order := s.Fleet.Members().Order(quota.Name(workspace))
 	return slices.DeleteFunc(order, func(m lease.Member) bool {
--- a/transport/platform/directory.go
+++ b/transport/provider/directory.go
@@ -1,4 +1,4 @@
-package platform
+package provider
 
 import (
 	"context"
--- a/transport/platform/table.go
+++ b/transport/provider/table.go
@@ -1,7 +1,7 @@
-// Package platform calls the services that the platform provides: the
+// Package provider calls the services that the platform provides: the
 // transactional table service, the object store and the list of live and
 // leaving instances.
-package platform
+package provider
 
 import (
 	"context"
