--- a/protocol/dispatch/attempt.go
+++ b/protocol/dispatch/attempt.go
@@ -103,9 +103,10 @@
 // looks again while the caller can still be answered.
 func (d *Dispatcher) place(c context.Context, j *job) (pool.Choice, error) {
 	tried := map[pool.ID]bool{}
+	by := j.placeBy(d.Timer.Boot())
 	for {
 		now := d.Timer.Boot()
-		if c.Err() != nil || now >= j.placeBy() {
+		if c.Err() != nil || now >= by {
 			return pool.Choice{}, refusal.Later(refusal.Overloaded, shortRetry, "no upstream had room in time")
 		}
 		h, ok := d.Pool.Choose(d.ask(j, tried, now), now)
@@ -140,9 +141,14 @@
 }
 
 // placeBy is the instant from which a request that has found no upstream is
-// refused, so that the caller has time to come back.
-func (j *job) placeBy() time.Duration {
-	return j.Arrived + time.Duration(float64(j.firstBy-j.Arrived)*placeShare)
+// refused, so that the caller has time to come back. A caller that has events
+// waits as long for the next one as for the first.
+func (j *job) placeBy(now time.Duration) time.Duration {
+	t := time.Duration(float64(j.firstBy-j.Arrived) * placeShare)
+	if j.first {
+		return min(j.until, now+t)
+	}
+	return j.Arrived + t
 }
 
 // pause waits before the next look for an upstream. Requests that can still be
--- a/protocol/dispatch/dispatch_test.go
+++ b/protocol/dispatch/dispatch_test.go
@@ -146,6 +146,39 @@
 	}
 }
 
+// slow is a body that takes its time before it ends.
+type slow struct {
+	io.Reader
+	pause time.Duration
+}
+
+func (s slow) Read(p []byte) (int, error) {
+	n, err := s.Reader.Read(p)
+	if err == io.EOF {
+		time.Sleep(s.pause)
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+// TestLongStreamIsResumed breaks a stream later than the time in which an
+// upstream must be found for its first event.
+func TestLongStreamIsResumed(t *testing.T) {
+	b := newBench(2)
+	b.answer = func(n int, _ dispatch.Send) (*dispatch.Answer, error) {
+		if n == 1 {
+			a := stream("", false)
+			a.Body = io.NopCloser(slow{strings.NewReader(firstHalf), 1400 * time.Millisecond})
+			return a, nil
+		}
+		return stream(secondHalf, false), nil
+	}
+	w, err := b.serve("/chat/x")
+	if err != nil || !strings.HasSuffix(w.Body.String(), secondHalf) {
+		t.Errorf("error %v, body %q", err, w.Body)
+	}
+}
+
 // TestFailedResumeIsCut replays pdl-central trouble-1, where the failure of the
 // second engine was passed on as the end of the stream.
 func TestFailedResumeIsCut(t *testing.T) {
