--- a/protocol/dispatch/dispatch.go
+++ b/protocol/dispatch/dispatch.go
@@ -161,6 +161,7 @@
 func (d *Dispatcher) Serve(c context.Context, w http.ResponseWriter, q *Request) error {
 	j, err := d.admit(q)
 	if err != nil {
+		d.spread(err)
 		d.logRefusal(q, j, err)
 		return err
 	}
@@ -173,11 +174,21 @@
 		d.Return(j.workspace, j.units)
 	}
 	if err != nil {
+		d.spread(err)
 		d.logRefusal(q, j, err)
 	}
 	return err
 }
 
+// spread draws when a refused caller may come back, so that those refused
+// together do not return together: up to half as long again.
+func (d *Dispatcher) spread(err error) {
+	var r *refusal.Refusal
+	if errors.As(err, &r) {
+		r.RetryAfter += time.Duration(d.Draw() / 2 * float64(r.RetryAfter))
+	}
+}
+
 // expire cancels a request at the end of its time.
 func (d *Dispatcher) expire(j *job, cancel context.CancelFunc) func() {
 	n, stop := d.Timer.Notify(max(0, j.until-d.Timer.Boot()))
