dispatch, entry: begin no stream that a stopping instance cannot finish

Callers keep addresses for three times their time to live, 6 s. Ruled out: the resume of late breaks (no break before the end).

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -107,8 +107,10 @@
 	versions  versions
 	members   members
 	leaving   atomic.Bool
-	life      context.Context
-	conn      net.PacketConn
+	// ends is the instant at which the instance stops, or 0.
+	ends atomic.Int64
+	life context.Context
+	conn net.PacketConn
 	// peers and fetching are the live peers and their adapter loads under way.
 	peers    atomic.Int64
 	fetching atomic.Int64
@@ -168,6 +170,7 @@
 		Take:   func(w *route.Workspace, n float64) (time.Duration, bool) { return e.quota.take(w, n, e.timer.Boot()) },
 		Return: func(w *route.Workspace, n float64) { e.quota.giveBack(w, n, e.timer.Boot()) },
 		Load:   e.load, Orderable: e.orderable, Lost: e.lost, Send: e.Send, Draw: rand.Float64,
+		Ends:    func() time.Duration { return time.Duration(e.ends.Load()) },
 		Peers:   func() int { return int(e.peers.Load()) },
 		Metrics: dispatch.NewMetrics(r),
 	})
@@ -218,8 +221,9 @@
 }
 
 // Leave stops all orders of this instance and tells the others that it takes
-// no new callers.
-func (e *Entry) Leave() {
+// no new callers. It stops after d.
+func (e *Entry) Leave(d time.Duration) {
+	e.ends.Store(int64(e.timer.Boot() + d))
 	e.leaving.Store(true)
 	e.ownership.Leave()
 	e.gossip.Send()
--- a/protocol/dispatch/admit.go
+++ b/protocol/dispatch/admit.go
@@ -6,6 +6,7 @@
 
 	"gentiangauge.example/gentiangauge/refusal"
 	"gentiangauge.example/gentiangauge/state/pool"
+	"gentiangauge.example/gentiangauge/state/route"
 )
 
 const (
@@ -13,6 +14,13 @@
 	shortRetry = 250 * time.Millisecond
 	// startRetry is when a caller may come back to an instance that starts.
 	startRetry = 400 * time.Millisecond
+	// stopRetry is when a caller may come back that finds an instance stopping:
+	// at once, since it connects to another one.
+	stopRetry = 20 * time.Millisecond
+	// stopFirst and stopSteps are the assumed time to the first event, and the
+	// steps for each output token, of a stream that has to end before a stop.
+	stopFirst = time.Second
+	stopSteps = 2
 	// defaultPatience is assumed of callers that state no deadline.
 	defaultPatience = 30 * time.Second
 )
@@ -51,9 +59,29 @@
 	if j.service, ok = t.Service(r.Pick(d.Draw())); !ok {
 		return j, refusal.Later(refusal.NoUpstream, shortRetry, "the route names a service that is not configured")
 	}
+	if err := d.fitsStop(j); err != nil {
+		return j, err
+	}
 	return j, d.takeUnits(j)
 }
 
+// fitsStop refuses a stream that an instance which is about to stop could not
+// finish, so that the caller begins it elsewhere.
+//
+// Load pattern: instances are stopped in turn while callers that have not yet
+// heard of it send long requests.
+func (d *Dispatcher) fitsStop(j *job) error {
+	end, now := d.Ends(), d.Timer.Boot()
+	if end == 0 || j.route.Kind != route.Stream {
+		return nil
+	}
+	need := stopFirst + stopSteps*d.settings.Capacity.Step*time.Duration(j.OutputTokens)
+	if need <= end-now {
+		return nil
+	}
+	return refusal.Later(refusal.Leaving, stopRetry, "the answer may take %v, the instance stops in %v", need, end-now)
+}
+
 func (d *Dispatcher) takeUnits(j *job) error {
 	d.budget.earn(string(j.service.Name), d.Peers()+1)
 	if j.workspace == nil {
--- a/protocol/dispatch/dispatch.go
+++ b/protocol/dispatch/dispatch.go
@@ -102,6 +102,8 @@
 	Lost func(id pool.ID, a pool.Adapter)
 	// Send sends a request. It fails with relay.ErrNotSent or relay.ErrBroken.
 	Send func(c context.Context, s Send) (*Answer, error)
+	// Ends returns the instant at which the instance stops, or 0.
+	Ends func() time.Duration
 	// Peers returns the number of other instances.
 	Peers func() int
 	// Draw returns a random number from 0 up to, not including, 1.
--- a/protocol/dispatch/dispatch_test.go
+++ b/protocol/dispatch/dispatch_test.go
@@ -33,6 +33,7 @@
 	load   func() (time.Duration, error)
 	sends  []dispatch.Send
 	given  float64
+	ends   time.Duration
 	d      *dispatch.Dispatcher
 	timer  *timer.Service
 }
@@ -68,7 +69,7 @@
 		Load: func(context.Context, pool.ID, pool.Adapter, route.Version) (time.Duration, error) {
 			return b.load()
 		},
-		Lost: func(pool.ID, pool.Adapter) {}, Send: b.send, Peers: func() int { return 0 }, Draw: func() float64 { return 0.5 },
+		Lost: func(pool.ID, pool.Adapter) {}, Send: b.send, Peers: func() int { return 0 }, Ends: func() time.Duration { return b.ends }, Draw: func() float64 { return 0.5 },
 		Metrics: dispatch.NewMetrics(prometheus.NewRegistry()),
 	})
 	return b
@@ -314,3 +315,20 @@
 		t.Errorf("refused with %v", err)
 	}
 }
+
+// TestStoppingInstanceBeginsNoStreamThatItCannotFinish replays pdl-central
+// hunt-d133-7: a chat that came 3.7 s after the request to stop was cut 3.7 s
+// later by the end of the process.
+func TestStoppingInstanceBeginsNoStreamThatItCannotFinish(t *testing.T) {
+	b := newBench(1)
+	b.answer = func(int, dispatch.Send) (*dispatch.Answer, error) { return stream(secondHalf, false), nil }
+	b.ends = b.timer.Boot() + time.Second
+	_, err := b.serve("/chat/x")
+	if r := refusal.As(err); r.Code != refusal.Leaving || r.Run != refusal.NotRun || r.RetryAfter <= 0 || len(b.sends) != 0 {
+		t.Errorf("refused with %v after %d sends", err, len(b.sends))
+	}
+	b.ends = b.timer.Boot() + time.Minute
+	if _, err := b.serve("/chat/x"); err != nil {
+		t.Errorf("a stream that can be finished is refused: %v", err)
+	}
+}
