ownership: wait for a lease that was read from the store

An owner was last heard before it had a lease; the other instance failed to take its claim, learnt the lease from the store, and noted the owner as heard a silence (1.5 s) ago, so that the owner did not count as live. The takeover came 8 s after that instant, 6.5 s after the lease was read, while a lease holds for 7 s after its renewal. Ruled out: a lost answer of a renewal, an earlier run's row, a frozen taker (the schedule has none of them before the failure). Change: when a lease was read from the store is kept beside when the instance was heard; a takeover waits for the later of both. The new test replays the schedule without rapid and fails before.

--- a/coordination/gossip/gossip.go
+++ b/coordination/gossip/gossip.go
@@ -38,7 +38,10 @@
 // Peer is an instance that was heard.
 type Peer struct {
 	Beat
-	At time.Duration
+	// At is when its newest beat arrived. LeaseSeen is when Lease was read from
+	// the store instead, if it was: it may have been renewed just before.
+	At        time.Duration
+	LeaseSeen time.Duration
 }
 
 // Gossip sends the beats of this instance and keeps the newest of others.
@@ -209,8 +212,8 @@
 	return m.beat(), nil
 }
 
-// Leased notes the version of an instance's lease as the store has it. An
-// instance that was not heard since counts as heard at the instant given.
+// Leased notes the version of an instance's lease as the store has it at the
+// instant given.
 func (g *Gossip) Leased(name string, v mirror.Version, now time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -218,8 +221,11 @@
 	if ok && p.Lease == v {
 		return
 	}
-	p.Name, p.Lease = name, v
+	if !ok {
+		// Not heard so far: it does not count as live.
+		p.At = now - g.silence()
+	}
+	p.Name, p.Lease, p.LeaseSeen = name, v, now
 	p.Surrendered = false
-	p.At = now - g.silence()
 	g.peers[name] = p
 }
--- a/coordination/ownership/claim.go
+++ b/coordination/ownership/claim.go
@@ -150,13 +150,14 @@
 		return t, !o.mine(k)
 	}
 	p, heard := o.Gossip.Peer(k.owner)
+	seen := max(p.At, p.LeaseSeen)
 	switch {
 	case !heard:
 		// Only since the start of this instance can the owner be known to be
 		// silent.
 		t.expected = false
 		return t, now-o.began > takeoverAfter
-	case p.Surrendered && now-p.At < takeoverAfter, now-p.At > takeoverAfter:
+	case p.Surrendered && now-p.At < takeoverAfter, now-seen > takeoverAfter:
 		t.owner, t.expected = p.Lease, true
 		if o.removed[k.owner] == p.Lease {
 			t.owner = 0
@@ -257,8 +258,8 @@
 	}
 }
 
-// learnLease reads the lease of an owner that was never heard, which counts
-// as heard at this instant.
+// learnLease reads the lease of an owner that was never heard. It may have been
+// renewed up to this instant.
 func (o *Ownership) learnLease(c context.Context, owner string) bool {
 	x, cancel := context.WithTimeout(c, callTime)
 	defer cancel()
--- a/coordination/ownership/ownership_test.go
+++ b/coordination/ownership/ownership_test.go
@@ -173,6 +173,37 @@
 	})
 }
 
+// TestLeaseReadFromStoreIsWaitedFor takes the schedule that rapid found with
+// seed 10785362575620111403: an owner that was last heard before it took its
+// lease is not followed by another one until the lease that was read from the
+// store has ended.
+func TestLeaseReadFromStoreIsWaitedFor(t *testing.T) {
+	w := newWorld(2)
+	first, second := w.all[0], w.all[1]
+	first.beat(second)
+	w.now += 5 * time.Second
+	first.step()
+	if got := len(first.ownership.Owned(w.now)); got != upstreams {
+		t.Fatalf("the first owns %d, want %d", got, upstreams)
+	}
+	// Fails, and reads the claims and the lease of the first.
+	second.step()
+	second.step()
+	w.now += 6700 * time.Millisecond
+	second.step()
+	second.step()
+	w.check(t.Fatalf)
+	w.now += 8*time.Second - 6700*time.Millisecond
+	second.step()
+	w.now += 2 * time.Second
+	second.step()
+	second.step()
+	w.check(t.Fatalf)
+	if got := owners(w)["u0"]; got != second.name {
+		t.Errorf("owner of u0 is %q, want %q once the lease of the first has ended", got, second.name)
+	}
+}
+
 func owners(w *world) map[pool.ID]string {
 	out := map[pool.ID]string{}
 	for _, n := range w.all {
