allowance: keep sums over the reports, and the refill of what is not yet told

Cause: at 118 instances each beat told 16 plans, and each of them looked at 117 reports: 1.9 million looks a second over the fleet. And the bucket was cut to its burst before the others' use was taken off, so that a load within the rate was refused where reports come each 1.9 s. Change: sums are kept as reports come and counted anew ten times a second; the cut at the burst leaves room for what the others are expected to have taken. The silence after which a sender counts as cut off follows the fleet's beats.

--- a/state/allowance/allowance.go
+++ b/state/allowance/allowance.go
@@ -21,6 +21,8 @@
 	at    time.Duration
 	// rate is the units a second between the last two reports.
 	rate float64
+	// silent is set while the sender counts as cut off.
+	silent bool
 }
 
 // Allowance is a token bucket of which other instances take too. Instants are
@@ -32,17 +34,32 @@
 	last    time.Duration
 	spent   float64
 	reports map[Instance]*report
+	// silence is the age of a report from which its sender counts as cut off.
+	silence time.Duration
+	// swept is the instant at which the sums below were last counted anew.
+	swept time.Duration
+	// silent counts the reports of instances that count as cut off.
+	silent int
+	// heardRate is the sum of the rates of the others, and heardOffset that of
+	// each rate times the instant of its report in seconds.
+	heardRate, heardOffset float64
 }
 
 // reportRateSpan is the time over which the rate of reports is smoothed.
 const reportRateSpan = 500 * time.Millisecond
 
-// silentAfter is the age of a report from which its sender counts as cut off.
-const silentAfter = time.Second
+// minSilence is the least age of a report from which its sender counts as cut
+// off.
+const minSilence = time.Second
 
-// forgetAfter is the age of a report from which its sender counts as ended.
+// forgetAfter is the least age of a report from which its sender counts as
+// ended.
 const forgetAfter = 10 * time.Second
 
+// sweepEvery is the time between two looks at all reports, of which a large
+// fleet has hundreds.
+const sweepEvery = 100 * time.Millisecond
+
 // startShare is the part of the burst that an allowance begins with. A fleet
 // that starts again must grant no second burst, and must not refuse the usual
 // load either.
@@ -50,7 +67,7 @@
 
 // New returns an allowance of an instance that has heard nothing yet.
 func New(rate, burst float64, now time.Duration) *Allowance {
-	return &Allowance{rate: rate, burst: burst, level: startShare * burst, last: now, reports: map[Instance]*report{}}
+	return &Allowance{rate: rate, burst: burst, level: startShare * burst, last: now, reports: map[Instance]*report{}, silence: minSilence}
 }
 
 // SetPlan changes rate and burst.
@@ -60,28 +77,55 @@
 	a.level = min(a.level, burst)
 }
 
+// SetSilence changes the age of a report from which its sender counts as cut
+// off: in a large fleet reports come less often.
+func (a *Allowance) SetSilence(d time.Duration) {
+	a.silence = max(minSilence, d)
+}
+
 func (a *Allowance) refill(now time.Duration) {
+	if now-a.swept >= sweepEvery {
+		a.sweep(now)
+	}
 	d := (now - a.last).Seconds()
 	if d <= 0 {
 		return
 	}
 	a.last = now
-	a.level = min(a.burst, a.level+d*(a.rate-a.silentRate(now)))
+	// What the others are expected to have taken since their reports is taken
+	// off the level when they tell it; the bucket is not full until then.
+	a.level = min(a.burst+a.unheard(now), a.level+d*(a.rate-a.silentRate()))
 }
 
-// silentRate is the rate that instances may use which do not report: a fair
-// part each. Instances that ended are forgotten.
-func (a *Allowance) silentRate(now time.Duration) float64 {
-	silent := 0
+// sweep counts the reports anew. Instances that ended are forgotten.
+func (a *Allowance) sweep(now time.Duration) {
+	a.swept = now
+	a.silent, a.heardRate, a.heardOffset = 0, 0, 0
 	for i, r := range a.reports {
-		switch age := now - r.at; {
-		case age > forgetAfter:
+		age := now - r.at
+		if age > max(forgetAfter, 2*a.silence) {
 			delete(a.reports, i)
-		case age > silentAfter:
-			silent++
+			continue
 		}
+		r.silent = age > a.silence
+		a.count(r, 1)
+	}
+}
+
+// count adds a report to the sums, or takes it off.
+func (a *Allowance) count(r *report, sign float64) {
+	if r.silent {
+		a.silent += int(sign)
+		return
 	}
-	return a.rate * float64(silent) / float64(len(a.reports)+1)
+	a.heardRate += sign * r.rate
+	a.heardOffset += sign * r.rate * r.at.Seconds()
+}
+
+// silentRate is the rate that instances may use which do not report: a fair
+// part each.
+func (a *Allowance) silentRate() float64 {
+	return a.rate * float64(a.silent) / float64(len(a.reports)+1)
 }
 
 // Spent returns the units that this instance has let through.
@@ -117,16 +161,19 @@
 		return
 	}
 	a.level -= took
+	a.count(r, -1)
 	if d := (now - r.at).Seconds(); d > 0 {
 		w := min(1, d/reportRateSpan.Seconds())
 		r.rate += w * (took/d - r.rate)
 	}
-	r.total, r.at = total, now
+	r.total, r.at, r.silent = total, now, false
+	a.count(r, 1)
 }
 
 func (a *Allowance) forgetEarlierRuns(i Instance) {
-	for old := range a.reports {
+	for old, r := range a.reports {
 		if old.Name == i.Name {
+			a.count(r, -1)
 			delete(a.reports, old)
 		}
 	}
@@ -134,13 +181,7 @@
 
 // unheard estimates what the others have let through since their last report.
 func (a *Allowance) unheard(now time.Duration) float64 {
-	sum := 0.0
-	for _, r := range a.reports {
-		if age := now - r.at; age <= silentAfter {
-			sum += r.rate * age.Seconds()
-		}
-	}
-	return sum
+	return max(0, a.heardRate*now.Seconds()-a.heardOffset)
 }
 
 // Take takes units if they are left. Otherwise it returns the time after
--- a/state/allowance/allowance_test.go
+++ b/state/allowance/allowance_test.go
@@ -23,6 +23,8 @@
 // fleet is a number of instances that tell each other what they let through.
 type fleet struct {
 	plans []*allowance.Allowance
+	// beat is the time between two reports of an instance.
+	beat time.Duration
 	// cut are the instances that hear nobody and are not heard.
 	cut map[int]bool
 	// taken are the units let through at each instant.
@@ -30,7 +32,7 @@
 }
 
 func newFleet(n int) *fleet {
-	f := &fleet{cut: map[int]bool{}, taken: map[time.Duration]float64{}}
+	f := &fleet{beat: beat, cut: map[int]bool{}, taken: map[time.Duration]float64{}}
 	for range n {
 		f.plans = append(f.plans, allowance.New(rate, burst, 0))
 	}
@@ -52,7 +54,7 @@
 	const step = 10 * time.Millisecond
 	owed := 0.0
 	for now := from; now < to; now += step {
-		if now%beat < step {
+		if now%f.beat < step {
 			f.tell(now)
 		}
 		for owed += demand * step.Seconds(); owed >= size; owed -= size {
@@ -125,6 +127,26 @@
 	}
 }
 
+// TestLargeFleetStaysInThePlan replays the loud workspace at 118 instances,
+// which report each 1.9 s only, and then its usual load.
+func TestLargeFleetStaysInThePlan(t *testing.T) {
+	f := newFleet(118)
+	f.beat = 1900 * time.Millisecond
+	for _, a := range f.plans {
+		a.SetSilence(5 * time.Second)
+	}
+	draw := rand.New(rand.NewPCG(20261204, 5))
+	f.run(0, 10*time.Second, 0, draw)
+	asked, granted := f.run(10*time.Second, 14*time.Second, rate/1.8, draw)
+	if granted != asked {
+		t.Errorf("%d of %d granted within the rate", granted, asked)
+	}
+	f.run(14*time.Second, 24*time.Second, 7.5*rate/1.8, draw)
+	if got := f.worst(24 * time.Second); got > limit() {
+		t.Errorf("%v units in a window, the plan allows %v", got, limit())
+	}
+}
+
 // TestFleetThatStartsAgainGrantsNoSecondBurst kills all instances while the
 // workspace is loud.
 func TestFleetThatStartsAgainGrantsNoSecondBurst(t *testing.T) {
