--- a/coordination/feed/feed.go
+++ b/coordination/feed/feed.go
@@ -29,9 +29,9 @@
 	Mirror *mirror.Mirror
 	// Changed is called with the rows that changed, in no order.
 	Changed func(rows []mirror.Row)
-	// Gap is the least time between two calls, for tables whose rows change
+	// Gap returns the least time between two calls, for tables whose rows change
 	// all the time.
-	Gap time.Duration
+	Gap func() time.Duration
 	// Due reports whether the table is to be read again, after the time given
 	// since the last call. A nil function means that it always is.
 	Due func(idle time.Duration) bool
@@ -50,7 +50,7 @@
 
 // New returns a feed of a table.
 func New(table string, s *store.Store, t *timer.Service, log *zap.Logger, changed func([]mirror.Row)) *Feed {
-	return &Feed{Table: table, Mirror: mirror.New(), Changed: changed, store: s, timer: t, log: log.Named("feed").With(zap.String("table", table))}
+	return &Feed{Table: table, Mirror: mirror.New(), Changed: changed, Gap: func() time.Duration { return 0 }, store: s, timer: t, log: log.Named("feed").With(zap.String("table", table))}
 }
 
 // Run follows the table until c ends.
@@ -81,11 +81,12 @@
 
 // rest waits until the table is to be read again.
 func (f *Feed) rest(c context.Context) {
-	if f.Gap <= 0 {
+	gap := f.Gap()
+	if gap <= 0 {
 		return
 	}
 	last := f.timer.Boot()
-	_ = f.timer.Wait(c, f.Gap)
+	_ = f.timer.Wait(c, gap)
 	for c.Err() == nil && f.Due != nil && !f.Due(f.timer.Boot()-last) {
 		_ = f.timer.Wait(c, dueLook)
 	}
--- a/coordination/gossip/beat.go
+++ b/coordination/gossip/beat.go
@@ -1,7 +1,7 @@
 package gossip
 
 import (
-	"slices"
+	"math"
 	"time"
 
 	"gentiangauge.example/gentiangauge/state/mirror"
@@ -10,12 +10,17 @@
 	"gentiangauge.example/gentiangauge/transport/mesh"
 )
 
-// Places are the adapters on an upstream.
+// Places are the adapters on an upstream that the instance gives orders to.
 type Places struct {
+	Upstream pool.Tag
+	// Claim is the version of the row that makes the instance its owner.
+	Claim mirror.Version
 	// Held is relative to the beat: ReadyAt is 0 for adapters in place.
 	Held map[pool.Tag]pool.Held
-	// Recent are the adapters that the upstream loads faster.
-	Recent map[pool.Tag]bool
+	// Recent are the adapters that the upstream loads faster. Only some beats
+	// tell them; RecentTold is set in these.
+	Recent     map[pool.Tag]bool
+	RecentTold bool
 }
 
 // Beat is what an instance tells the others of itself.
@@ -28,164 +33,166 @@
 	Serving bool
 	// Zone is the availability zone.
 	Zone string
+	// Front and Peer are the addresses of an instance that has just started,
+	// which the others may not have read from the store yet.
+	Front string
+	Peer  string
 	// News is the version of the newest row of an upstream that matters to
 	// requests, StoreUnsteady is set while the store fails or has lately.
 	News          mirror.Version
 	StoreUnsteady bool
 	// Uptime is the time since the start.
 	Uptime time.Duration
-	// Versions are the versions of the mirrored tables by table.
-	Versions map[string]mirror.Version
+	// Versions are the versions of the mirrored tables, by the tag of the table.
+	Versions map[pool.Tag]mirror.Version
 	// Lease is the version of the instance's lease, Surrendered is set when
 	// it gives no orders under it.
 	Lease       mirror.Version
 	Surrendered bool
-	// Spent and Left are the units of each workspace. Left is only told while
-	// an instance has just started.
-	Spent map[route.WorkspaceName]float64
-	Left  map[route.WorkspaceName]float64
-	// Uses is the work on the upstreams, by upstream and adapter.
-	Uses map[pool.Tag]map[pool.Tag]pool.Use
-	// Held are the adapters on the upstreams that the instance gives orders to.
-	Held map[pool.Tag]Places
+	// Spent and Left are the units of each workspace, by its tag, Spent in whole
+	// ones. Left is only told while an instance has just started.
+	Spent map[pool.Tag]float64
+	Left  map[pool.Tag]float64
+	// Work is what the instance has on the upstreams.
+	Work []pool.Work
+	// Places are the adapters on the upstreams that it gives orders to.
+	Places []Places
 	// Loading is the number of adapter loads under way that it ordered.
 	Loading int
 }
 
+// beatMessage is a beat on the wire. Lists of numbers stand in place of lists
+// of messages, since each instance reads a hundred beats a second.
 type beatMessage struct {
 	mesh.Message
-	Name        string           `protobuf:"bytes,1,opt,name=name,proto3"`
-	Run         int64            `protobuf:"varint,2,opt,name=run,proto3"`
-	Sequence    int64            `protobuf:"varint,3,opt,name=sequence,proto3"`
-	Serving     bool             `protobuf:"varint,4,opt,name=serving,proto3"`
-	UptimeMs    int64            `protobuf:"varint,5,opt,name=uptime_ms,proto3"`
-	Versions    []*countMessage  `protobuf:"bytes,6,rep,name=versions,proto3"`
-	Lease       int64            `protobuf:"varint,7,opt,name=lease,proto3"`
-	Surrendered bool             `protobuf:"varint,8,opt,name=surrendered,proto3"`
-	Spent       []*amountMessage `protobuf:"bytes,9,rep,name=spent,proto3"`
-	Uses        []*useMessage    `protobuf:"bytes,10,rep,name=uses,proto3"`
-	Held        []*heldMessage   `protobuf:"bytes,11,rep,name=held,proto3"`
-	Loading     int64            `protobuf:"varint,12,opt,name=loading,proto3"`
-	Left        []*amountMessage `protobuf:"bytes,13,rep,name=left,proto3"`
-	Zone        string           `protobuf:"bytes,14,opt,name=zone,proto3"`
-	News        int64            `protobuf:"varint,15,opt,name=news,proto3"`
-	Unsteady    bool             `protobuf:"varint,16,opt,name=unsteady,proto3"`
+	Name        string `protobuf:"bytes,1,opt,name=name,proto3"`
+	Run         int64  `protobuf:"varint,2,opt,name=run,proto3"`
+	Sequence    int64  `protobuf:"varint,3,opt,name=sequence,proto3"`
+	Serving     bool   `protobuf:"varint,4,opt,name=serving,proto3"`
+	UptimeMs    int64  `protobuf:"varint,5,opt,name=uptime_ms,proto3"`
+	Lease       int64  `protobuf:"varint,6,opt,name=lease,proto3"`
+	Surrendered bool   `protobuf:"varint,7,opt,name=surrendered,proto3"`
+	Loading     int64  `protobuf:"varint,8,opt,name=loading,proto3"`
+	Zone        string `protobuf:"bytes,9,opt,name=zone,proto3"`
+	News        int64  `protobuf:"varint,10,opt,name=news,proto3"`
+	Unsteady    bool   `protobuf:"varint,11,opt,name=unsteady,proto3"`
+	Front       string `protobuf:"bytes,12,opt,name=front,proto3"`
+	Peer        string `protobuf:"bytes,13,opt,name=peer,proto3"`
+	// Versions are in the order of Tables, units in that of Workspaces.
+	Tables     []uint32  `protobuf:"fixed32,14,rep,packed,name=tables,proto3"`
+	Versions   []int64   `protobuf:"varint,15,rep,packed,name=versions,proto3"`
+	Workspaces []uint32  `protobuf:"fixed32,16,rep,packed,name=workspaces,proto3"`
+	Spent      []int64   `protobuf:"varint,17,rep,packed,name=spent,proto3"`
+	Left       []float64 `protobuf:"fixed64,18,rep,packed,name=left,proto3"`
+	// The lists of work are in the order of WorkUpstreams.
+	WorkUpstreams []uint32        `protobuf:"fixed32,19,rep,packed,name=work_upstreams,proto3"`
+	WorkAdapters  []uint32        `protobuf:"fixed32,20,rep,packed,name=work_adapters,proto3"`
+	WorkRunning   []int64         `protobuf:"varint,21,rep,packed,name=work_running,proto3"`
+	WorkUnread    []int64         `protobuf:"varint,22,rep,packed,name=work_unread,proto3"`
+	WorkTokens    []int64         `protobuf:"varint,23,rep,packed,name=work_tokens,proto3"`
+	Places        []*placeMessage `protobuf:"bytes,24,rep,name=places,proto3"`
 }
 
-type countMessage struct {
-	mesh.Message
-	Name  string `protobuf:"bytes,1,opt,name=name,proto3"`
-	Count int64  `protobuf:"varint,2,opt,name=count,proto3"`
-}
-
-type amountMessage struct {
-	mesh.Message
-	Name   string  `protobuf:"bytes,1,opt,name=name,proto3"`
-	Amount float64 `protobuf:"fixed64,2,opt,name=amount,proto3"`
-}
-
-type useMessage struct {
-	mesh.Message
-	Upstream uint32 `protobuf:"fixed32,1,opt,name=upstream,proto3"`
-	Adapter  uint32 `protobuf:"fixed32,2,opt,name=adapter,proto3"`
-	Running  int64  `protobuf:"varint,3,opt,name=running,proto3"`
-	Unread   int64  `protobuf:"varint,4,opt,name=unread,proto3"`
-	Tokens   int64  `protobuf:"varint,5,opt,name=tokens,proto3"`
-}
-
-// heldMessage lists the adapters on an upstream. Versions and ReadyInMs are
+// placeMessage lists the adapters on an upstream. Versions and ReadyInMs are
 // in the order of Adapters.
-type heldMessage struct {
+type placeMessage struct {
 	mesh.Message
-	Upstream  uint32   `protobuf:"fixed32,1,opt,name=upstream,proto3"`
-	Adapters  []uint32 `protobuf:"fixed32,2,rep,packed,name=adapters,proto3"`
-	Versions  []int64  `protobuf:"varint,3,rep,packed,name=versions,proto3"`
-	ReadyInMs []int64  `protobuf:"varint,4,rep,packed,name=ready_in_ms,proto3"`
-	Recent    []uint32 `protobuf:"fixed32,5,rep,packed,name=recent,proto3"`
+	Upstream   uint32   `protobuf:"fixed32,1,opt,name=upstream,proto3"`
+	Claim      int64    `protobuf:"varint,2,opt,name=claim,proto3"`
+	Adapters   []uint32 `protobuf:"fixed32,3,rep,packed,name=adapters,proto3"`
+	Versions   []int64  `protobuf:"varint,4,rep,packed,name=versions,proto3"`
+	ReadyInMs  []int64  `protobuf:"varint,5,rep,packed,name=ready_in_ms,proto3"`
+	Recent     []uint32 `protobuf:"fixed32,6,rep,packed,name=recent,proto3"`
+	RecentTold bool     `protobuf:"varint,7,opt,name=recent_told,proto3"`
 }
 
 func (b Beat) message() *beatMessage {
 	m := &beatMessage{
 		Name: b.Name, Run: b.Run, Sequence: b.Sequence, Serving: b.Serving, UptimeMs: b.Uptime.Milliseconds(),
 		Lease: int64(b.Lease), Surrendered: b.Surrendered, Loading: int64(b.Loading),
-		Zone: b.Zone, News: int64(b.News), Unsteady: b.StoreUnsteady,
+		Zone: b.Zone, News: int64(b.News), Unsteady: b.StoreUnsteady, Front: b.Front, Peer: b.Peer,
 	}
 	for t, v := range b.Versions {
-		m.Versions = append(m.Versions, &countMessage{Name: t, Count: int64(v)})
-	}
-	m.Spent, m.Left = amounts(b.Spent), amounts(b.Left)
-	for id, uses := range b.Uses {
-		for a, u := range uses {
-			m.Uses = append(m.Uses, &useMessage{
-				Upstream: uint32(id), Adapter: uint32(a), Running: int64(u.Running), Unread: int64(u.Unread), Tokens: int64(u.Tokens),
-			})
-		}
+		m.Tables, m.Versions = append(m.Tables, uint32(t)), append(m.Versions, int64(v))
 	}
-	for id, p := range b.Held {
-		x := &heldMessage{Upstream: uint32(id)}
-		for a, h := range p.Held {
-			x.Adapters = append(x.Adapters, uint32(a))
-			x.Versions = append(x.Versions, int64(h.Version))
-			x.ReadyInMs = append(x.ReadyInMs, h.ReadyAt.Milliseconds())
-		}
-		for a := range p.Recent {
-			x.Recent = append(x.Recent, uint32(a))
+	for w, x := range b.Spent {
+		m.Workspaces, m.Spent = append(m.Workspaces, uint32(w)), append(m.Spent, int64(math.Round(x)))
+		if b.Left != nil {
+			m.Left = append(m.Left, b.Left[w])
 		}
-		slices.Sort(x.Recent)
-		m.Held = append(m.Held, x)
+	}
+	for _, w := range b.Work {
+		m.WorkUpstreams, m.WorkAdapters = append(m.WorkUpstreams, uint32(w.Upstream)), append(m.WorkAdapters, uint32(w.Adapter))
+		m.WorkRunning, m.WorkUnread = append(m.WorkRunning, int64(w.Running)), append(m.WorkUnread, int64(w.Unread))
+		m.WorkTokens = append(m.WorkTokens, int64(w.Tokens))
+	}
+	for _, p := range b.Places {
+		m.Places = append(m.Places, p.message())
 	}
 	return m
 }
 
-func amounts(m map[route.WorkspaceName]float64) []*amountMessage {
-	var out []*amountMessage
-	for n, x := range m {
-		out = append(out, &amountMessage{Name: string(n), Amount: x})
+func (p Places) message() *placeMessage {
+	m := &placeMessage{Upstream: uint32(p.Upstream), Claim: int64(p.Claim), RecentTold: p.RecentTold}
+	for a, h := range p.Held {
+		m.Adapters = append(m.Adapters, uint32(a))
+		m.Versions = append(m.Versions, int64(h.Version))
+		m.ReadyInMs = append(m.ReadyInMs, h.ReadyAt.Milliseconds())
 	}
-	return out
-}
-
-func amountMap(l []*amountMessage) map[route.WorkspaceName]float64 {
-	out := map[route.WorkspaceName]float64{}
-	for _, x := range l {
-		out[route.WorkspaceName(x.Name)] = x.Amount
+	if p.RecentTold {
+		for a := range p.Recent {
+			m.Recent = append(m.Recent, uint32(a))
+		}
 	}
-	return out
+	return m
 }
 
 func (m *beatMessage) beat() Beat {
 	b := Beat{
 		Name: m.Name, Run: m.Run, Sequence: m.Sequence, Serving: m.Serving, Uptime: time.Duration(m.UptimeMs) * time.Millisecond,
 		Lease: mirror.Version(m.Lease), Surrendered: m.Surrendered, Loading: int(m.Loading),
-		Zone: m.Zone, News: mirror.Version(m.News), StoreUnsteady: m.Unsteady,
-		Versions: map[string]mirror.Version{}, Spent: amountMap(m.Spent), Left: amountMap(m.Left),
-		Uses: map[pool.Tag]map[pool.Tag]pool.Use{}, Held: map[pool.Tag]Places{},
+		Zone: m.Zone, News: mirror.Version(m.News), StoreUnsteady: m.Unsteady, Front: m.Front, Peer: m.Peer,
+		Versions: map[pool.Tag]mirror.Version{}, Spent: map[pool.Tag]float64{},
+	}
+	for i := range min(len(m.Tables), len(m.Versions)) {
+		b.Versions[pool.Tag(m.Tables[i])] = mirror.Version(m.Versions[i])
 	}
-	for _, v := range m.Versions {
-		b.Versions[v.Name] = mirror.Version(v.Count)
+	for i := range min(len(m.Workspaces), len(m.Spent)) {
+		b.Spent[pool.Tag(m.Workspaces[i])] = float64(m.Spent[i])
 	}
-	for _, u := range m.Uses {
-		id := pool.Tag(u.Upstream)
-		if b.Uses[id] == nil {
-			b.Uses[id] = map[pool.Tag]pool.Use{}
+	if n := min(len(m.Workspaces), len(m.Left)); n > 0 {
+		b.Left = map[pool.Tag]float64{}
+		for i := range n {
+			b.Left[pool.Tag(m.Workspaces[i])] = m.Left[i]
 		}
-		b.Uses[id][pool.Tag(u.Adapter)] = pool.Use{Running: int(u.Running), Unread: int(u.Unread), Tokens: int(u.Tokens)}
 	}
-	for _, h := range m.Held {
-		b.Held[pool.Tag(h.Upstream)] = h.places()
+	for i := range min(len(m.WorkUpstreams), len(m.WorkAdapters), len(m.WorkRunning), len(m.WorkUnread), len(m.WorkTokens)) {
+		b.Work = append(b.Work, pool.Work{
+			Upstream: pool.Tag(m.WorkUpstreams[i]), Adapter: pool.Tag(m.WorkAdapters[i]),
+			Use: pool.Use{Running: int(m.WorkRunning[i]), Unread: int(m.WorkUnread[i]), Tokens: int(m.WorkTokens[i])},
+		})
+	}
+	for _, p := range m.Places {
+		b.Places = append(b.Places, p.places())
 	}
 	return b
 }
 
-func (h *heldMessage) places() Places {
-	p := Places{Held: map[pool.Tag]pool.Held{}, Recent: map[pool.Tag]bool{}}
-	for i, a := range h.Adapters {
-		if i < len(h.Versions) && i < len(h.ReadyInMs) {
-			p.Held[pool.Tag(a)] = pool.Held{Version: route.Version(h.Versions[i]), ReadyAt: time.Duration(h.ReadyInMs[i]) * time.Millisecond}
+func (m *placeMessage) places() Places {
+	p := Places{
+		Upstream: pool.Tag(m.Upstream), Claim: mirror.Version(m.Claim), RecentTold: m.RecentTold,
+		Held: map[pool.Tag]pool.Held{},
+	}
+	for i := range min(len(m.Adapters), len(m.Versions), len(m.ReadyInMs)) {
+		p.Held[pool.Tag(m.Adapters[i])] = pool.Held{
+			Version: route.Version(m.Versions[i]), ReadyAt: time.Duration(m.ReadyInMs[i]) * time.Millisecond,
 		}
 	}
-	for _, a := range h.Recent {
-		p.Recent[pool.Tag(a)] = true
+	if m.RecentTold {
+		p.Recent = map[pool.Tag]bool{}
+		for _, a := range m.Recent {
+			p.Recent[pool.Tag(a)] = true
+		}
 	}
 	return p
 }
--- /dev/null
+++ b/coordination/gossip/beat_test.go
@@ -0,0 +1,127 @@
+package gossip_test
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"reflect"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"gentiangauge.example/gentiangauge/coordination/gossip"
+	"gentiangauge.example/gentiangauge/state/mirror"
+	"gentiangauge.example/gentiangauge/state/pool"
+	"gentiangauge.example/gentiangauge/timer"
+)
+
+// busyBeat is a beat of an instance that owns two upstreams, in a fleet with 16
+// workspaces.
+func busyBeat() gossip.Beat {
+	b := gossip.Beat{
+		Name: "instance-12", Run: 1_764_800_000_000, Sequence: 1000, Serving: true, Zone: "zone-1", News: 12_345, Uptime: time.Minute, Lease: 123_456,
+		Front: "10.0.0.1:80", Peer: "10.0.0.1:81", Loading: 3,
+		Versions: map[pool.Tag]mirror.Version{1: 5000, 2: 5001, 3: 50_002}, Spent: map[pool.Tag]float64{}, Left: map[pool.Tag]float64{},
+	}
+	for i := range 16 {
+		b.Spent[pool.NewTag(fmt.Sprint("workspace-", i))] = float64(i) * 1234
+		b.Left[pool.NewTag(fmt.Sprint("workspace-", i))] = float64(i)*10 - 20.5
+	}
+	for i := range 8 {
+		b.Work = append(b.Work, pool.Work{
+			Upstream: pool.NewTag(fmt.Sprint("upstream-", i)), Adapter: pool.NewTag("a"), Use: pool.Use{Running: 1, Unread: 1800, Tokens: 2400},
+		})
+	}
+	for i := range 2 {
+		p := gossip.Places{
+			Upstream: pool.NewTag(fmt.Sprint("upstream-", i)), Claim: 77, Held: map[pool.Tag]pool.Held{}, Recent: map[pool.Tag]bool{}, RecentTold: true,
+		}
+		for j := range 6 {
+			p.Held[pool.NewTag(fmt.Sprint("held-", j))] = pool.Held{Version: 2, ReadyAt: time.Duration(j) * time.Millisecond}
+		}
+		for j := range 20 {
+			p.Recent[pool.NewTag(fmt.Sprint("recent-", j))] = true
+		}
+		b.Places = append(b.Places, p)
+	}
+	return b
+}
+
+func listen(t *testing.T) (*net.UDPConn, netip.AddrPort) {
+	t.Helper()
+	c, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return c, netip.MustParseAddrPort(c.LocalAddr().String())
+}
+
+// TestBeatArrivesAsItWasSent sends beats until one with the recent adapters
+// arrives, and compares it whole.
+func TestBeatArrivesAsItWasSent(t *testing.T) {
+	from, _ := listen(t)
+	to, address := listen(t)
+	sender := gossip.New("instance-12", from, timer.New(), zap.NewNop())
+	sender.Compose = busyBeat
+	sender.Addresses = func() (near, far []netip.AddrPort) { return []netip.AddrPort{address}, nil }
+	heard := make(chan gossip.Beat, 8)
+	receiver := gossip.New("instance-1", to, timer.New(), zap.NewNop())
+	receiver.Heard = func(b gossip.Beat) { heard <- b }
+	receiver.Compose = busyBeat
+	receiver.Addresses = func() (near, far []netip.AddrPort) { return nil, nil }
+	go receiver.Run(t.Context())
+	for range 8 {
+		sender.Send()
+		b := <-heard
+		if !b.Places[0].RecentTold {
+			continue
+		}
+		want := busyBeat()
+		want.Sequence = b.Sequence
+		if !reflect.DeepEqual(b, want) {
+			t.Errorf("heard %+v, want %+v", b, want)
+		}
+		return
+	}
+	t.Error("no beat told the adapters that upstreams load faster")
+}
+
+// TestBeatsToOtherZonesAreSpread counts the beats that peers of the same and of
+// another availability zone get from an instance with many peers.
+func TestBeatsToOtherZonesAreSpread(t *testing.T) {
+	const beats, every = 16, 4
+	from, _ := listen(t)
+	_, near := listen(t)
+	far, address := listen(t)
+	g := gossip.New("instance-0", from, timer.New(), zap.NewNop())
+	g.Heard = func(gossip.Beat) {}
+	for i := range 100 {
+		g.Take(gossip.Beat{Name: fmt.Sprint("peer-", i), Run: 1, Sequence: 1, Zone: "zone-2"})
+	}
+	g.Compose = busyBeat
+	g.Addresses = func() (n, f []netip.AddrPort) { return []netip.AddrPort{near}, []netip.AddrPort{address} }
+	for range beats {
+		g.Send()
+	}
+	const end = "end"
+	if _, err := from.WriteToUDPAddrPort([]byte(end), address); err != nil {
+		t.Fatal(err)
+	}
+	got := 0
+	buf := make([]byte, 64<<10)
+	for {
+		n, _, err := far.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if string(buf[:n]) == end {
+			break
+		}
+		got++
+	}
+	if got != beats/every {
+		t.Errorf("%d of %d beats went to another zone, want %d", got, beats, beats/every)
+	}
+}
--- a/coordination/gossip/gossip.go
+++ b/coordination/gossip/gossip.go
@@ -20,17 +20,25 @@
 // peer.
 const Interval = 150 * time.Millisecond
 
-// farBeats is the number of beats of which other availability zones get one,
-// since bytes between zones are paid for.
-const farBeats = 2
+// farBeats is the number of beats of which a peer in another availability zone
+// gets one, since bytes between zones are paid for; manyFarBeats is that of a
+// fleet with many peers or more, of which most are in other zones.
+const (
+	farBeats     = 2
+	manyFarBeats = 4
+	many         = 40
+)
 
 // perPeer is the time between beats for each peer, so that a large fleet does
 // not spend all its time on them: at 118 instances a beat each 0.5 s.
 const perPeer = 4 * time.Millisecond
 
 // minSilence is the least time without a beat after which a peer counts as
-// silent: two beats between zones may be lost.
-const minSilence = 1500 * time.Millisecond
+// silent, and silentBeats the number of its beats that may be missing.
+const (
+	minSilence  = 1500 * time.Millisecond
+	silentBeats = 5
+)
 
 // maxDatagram is the largest beat that is sent.
 const maxDatagram = 32 << 10
@@ -52,21 +60,23 @@
 	Heard func(b Beat)
 	// Addresses returns where the other instances listen: those that are told
 	// with each beat, and those, in other availability zones, that are told
-	// with each farBeats-th one.
+	// with some only.
 	Addresses func() (near, far []netip.AddrPort)
+	// Zone is the availability zone of this instance.
+	Zone string
 
 	name  string
 	timer *timer.Service
 	log   *zap.Logger
-	conn  net.PacketConn
+	conn  *net.UDPConn
 	mu    sync.Mutex
-	peers map[string]Peer
+	peers map[string]*Peer
 	seq   int64
 }
 
 // New returns a gossip of the instance with a name on a socket.
-func New(name string, conn net.PacketConn, t *timer.Service, log *zap.Logger) *Gossip {
-	return &Gossip{name: name, conn: conn, timer: t, log: log.Named("gossip"), peers: map[string]Peer{}}
+func New(name string, conn *net.UDPConn, t *timer.Service, log *zap.Logger) *Gossip {
+	return &Gossip{name: name, conn: conn, timer: t, log: log.Named("gossip"), peers: map[string]*Peer{}}
 }
 
 // Run sends and receives beats until c ends.
@@ -85,42 +95,81 @@
 func (g *Gossip) interval() time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	return g.between()
+}
+
+// between is the time between two beats.
+func (g *Gossip) between() time.Duration {
 	return max(Interval, time.Duration(len(g.peers))*perPeer)
 }
 
+func (g *Gossip) farEvery() int64 {
+	if len(g.peers) >= many {
+		return manyFarBeats
+	}
+	return farBeats
+}
+
 // silence is the time without a beat after which a peer counts as silent.
-func (g *Gossip) silence() time.Duration {
-	return max(minSilence, (farBeats*2+1)*time.Duration(len(g.peers))*perPeer)
+// Half as many beats may be missing of those that come far.
+func (g *Gossip) silence(far bool) time.Duration {
+	d := silentBeats * g.between()
+	if far {
+		d = d * time.Duration(g.farEvery()) / 2
+	}
+	return max(minSilence, d)
+}
+
+func (g *Gossip) live(p *Peer, now time.Duration) bool {
+	return now-p.At < g.silence(p.Zone != g.Zone)
 }
 
-// Send sends one beat.
+// Send sends one beat. Those that go far are spread over the beats, so that
+// none takes long.
 func (g *Gossip) Send() {
 	b := g.Compose()
 	b.Name = g.name
 	g.mu.Lock()
 	g.seq++
 	b.Sequence = g.seq
-	toFar := g.seq%farBeats == 0
+	every := g.farEvery()
 	g.mu.Unlock()
+	// Each peer hears of them with each second of the beats that it gets.
+	recent := b.Sequence%(2*every) < every
+	for i := range b.Places {
+		b.Places[i].RecentTold = recent
+	}
 	data, err := encode(b)
 	if err != nil || len(data) > maxDatagram {
 		g.log.Error("beat cannot be sent", zap.Int("bytes", len(data)), zap.Error(err))
 		return
 	}
-	addresses, far := g.Addresses()
-	if toFar {
-		addresses = append(addresses, far...)
+	near, far := g.Addresses()
+	for _, a := range near {
+		g.send(data, a)
 	}
-	for _, a := range addresses {
-		// A datagram that cannot be sent is like a lost one.
-		_, _ = g.conn.WriteTo(data, net.UDPAddrFromAddrPort(a))
+	for _, a := range far {
+		if (int64(turn(a))+b.Sequence)%every == 0 {
+			g.send(data, a)
+		}
 	}
 }
 
+// turn spreads addresses over the beats.
+func turn(a netip.AddrPort) byte {
+	l := a.Addr().AsSlice()
+	return l[len(l)-1]
+}
+
+func (g *Gossip) send(data []byte, a netip.AddrPort) {
+	// A datagram that cannot be sent is like a lost one.
+	_, _ = g.conn.WriteToUDPAddrPort(data, a)
+}
+
 func (g *Gossip) receive(c context.Context) {
 	buf := make([]byte, maxDatagram)
 	for c.Err() == nil {
-		n, _, err := g.conn.ReadFrom(buf)
+		n, _, err := g.conn.ReadFromUDPAddrPort(buf)
 		if err != nil {
 			if c.Err() == nil {
 				g.log.Warn("receive beat", zap.Error(err))
@@ -146,7 +195,7 @@
 	old, ok := g.peers[b.Name]
 	late := ok && (old.Run > b.Run || old.Run == b.Run && old.Sequence >= b.Sequence)
 	if !late {
-		g.peers[b.Name] = Peer{Beat: b, At: g.timer.Boot()}
+		g.peers[b.Name] = &Peer{Beat: b, At: g.timer.Boot()}
 	}
 	g.mu.Unlock()
 	if !late {
@@ -159,23 +208,38 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p, ok := g.peers[name]
-	return p, ok
+	if !ok {
+		return Peer{}, false
+	}
+	return *p, true
 }
 
-// Silence returns the time without a beat after which a peer counts as silent.
-func (g *Gossip) Silence() time.Duration {
+// Hears returns the newest beat of an instance that is not silent.
+func (g *Gossip) Hears(name string, now time.Duration) (Peer, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.silence()
+	p, ok := g.peers[name]
+	if !ok || !g.live(p, now) {
+		return Peer{}, false
+	}
+	return *p, true
 }
 
-// Live returns the peers that are not silent.
-func (g *Gossip) Live(now time.Duration) []Peer {
+// Silence returns the time without a beat after which a peer counts as silent,
+// of the same availability zone or of another one.
+func (g *Gossip) Silence() (near, far time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var out []Peer
+	return g.silence(false), g.silence(true)
+}
+
+// Live returns the peers that are not silent. They must not be changed.
+func (g *Gossip) Live(now time.Duration) []*Peer {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var out []*Peer
 	for _, p := range g.peers {
-		if now-p.At < g.silence() {
+		if g.live(p, now) {
 			out = append(out, p)
 		}
 	}
@@ -184,12 +248,12 @@
 
 // Silent returns the peers that were heard once and are silent, and forgets
 // those that are silent for long.
-func (g *Gossip) Silent(now, forget time.Duration) []Peer {
+func (g *Gossip) Silent(now, forget time.Duration) []*Peer {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var out []Peer
+	var out []*Peer
 	for n, p := range g.peers {
-		if now-p.At < g.silence() {
+		if g.live(p, now) {
 			continue
 		}
 		out = append(out, p)
@@ -213,19 +277,18 @@
 }
 
 // Leased notes the version of an instance's lease as the store has it at the
-// instant given.
+// instant given. An instance that was not heard does not count as live.
 func (g *Gossip) Leased(name string, v mirror.Version, now time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	p, ok := g.peers[name]
-	if ok && p.Lease == v {
+	old, ok := g.peers[name]
+	if ok && old.Lease == v {
 		return
 	}
-	if !ok {
-		// Not heard so far: it does not count as live.
-		p.At = now - g.silence()
+	p := Peer{Beat: Beat{Name: name}, At: now - g.silence(true)}
+	if ok {
+		p = *old
 	}
-	p.Name, p.Lease, p.LeaseSeen = name, v, now
-	p.Surrendered = false
-	g.peers[name] = p
+	p.Lease, p.LeaseSeen, p.Surrendered = v, now, false
+	g.peers[name] = &p
 }
--- a/coordination/orders/duty.go
+++ b/coordination/orders/duty.go
@@ -13,7 +13,7 @@
 func (o *Orders) Run(c context.Context) {
 	go o.Timer.Subscribe(c, loadStep, func(time.Time) { o.follow() })
 	o.Timer.Subscribe(c, tick, func(time.Time) {
-		for _, id := range o.Ownership.Owned(o.Timer.Boot()) {
+		for id := range o.Ownership.Owned(o.Timer.Boot()) {
 			o.worker(id).Tell(func(e *engine) { o.attend(c, e, id) })
 		}
 	})
@@ -31,8 +31,10 @@
 	o.mu.Unlock()
 	for _, id := range busy {
 		o.worker(id).Tell(func(e *engine) {
-			e.advance(o.Timer.Boot(), o.Loading()+o.Own(), o.Timing.Parallel)
-			o.publish(e, id)
+			if n, ok := o.Engine(e.upstream.Service); ok {
+				e.advance(o.Timer.Boot(), o.Loading()+o.Own(), o.Timing.parallel(n))
+				o.publish(e, id)
+			}
 		})
 	}
 }
--- a/coordination/ownership/claim.go
+++ b/coordination/ownership/claim.go
@@ -116,6 +116,10 @@
 		}
 	}
 	ups := o.Pool.Upstreams(now)
+	names = mayOwn(names, len(ups))
+	if !slices.Contains(names, o.name) {
+		return nil
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	var out []candidate
@@ -171,11 +175,34 @@
 	}
 }
 
+// minOwners and perOwner bound the number of owners: each renews a lease, which
+// is a write to the store, and the end of one stops the loads of its upstreams.
+const (
+	minOwners = 12
+	perOwner  = 4
+)
+
+// mayOwn returns the instances that claim upstreams, so many that each has
+// perOwner of them.
+func mayOwn(names []string, upstreams int) []string {
+	n := max(minOwners, upstreams/perOwner)
+	if len(names) <= n {
+		return names
+	}
+	order("owner", names)
+	return names[:n]
+}
+
+// order sorts names in the rendezvous order of a key.
+func order(key string, names []string) {
+	weight := func(n string) uint64 { return xxhash.Sum64String(key + "/" + n) }
+	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(weight(b), weight(a)) })
+}
+
 // rank returns the place of an instance in the order in which the named ones
 // claim an upstream.
 func rank(id pool.ID, self string, names []string) int {
-	weight := func(n string) uint64 { return xxhash.Sum64String(string(id) + "/" + n) }
-	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(weight(b), weight(a)) })
+	order(string(id), names)
 	return slices.Index(names, self)
 }
 
--- a/coordination/ownership/ownership.go
+++ b/coordination/ownership/ownership.go
@@ -176,17 +176,29 @@
 	return k.owner, ok
 }
 
-// Owned returns the upstreams that this instance gives orders to.
-func (o *Ownership) Owned(now time.Duration) []pool.ID {
+// Told takes over the claim that an instance tells of in a beat, which may be
+// ahead of the store's feed. It reports whether the instance is the owner.
+func (o *Ownership) Told(id pool.ID, owner string, v mirror.Version) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if owner != o.name {
+		o.note(id, claim{owner: owner, version: v})
+	}
+	return o.claims[id].owner == owner
+}
+
+// Owned returns the upstreams that this instance gives orders to, and the
+// tokens of its orders.
+func (o *Ownership) Owned(now time.Duration) map[pool.ID]Token {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if !o.valid(now) {
 		return nil
 	}
-	var out []pool.ID
+	out := map[pool.ID]Token{}
 	for id, k := range o.claims {
 		if o.mine(k) {
-			out = append(out, id)
+			out[id] = Token(k.version)
 		}
 	}
 	return out
--- a/coordination/ownership/ownership_test.go
+++ b/coordination/ownership/ownership_test.go
@@ -207,7 +207,7 @@
 func owners(w *world) map[pool.ID]string {
 	out := map[pool.ID]string{}
 	for _, n := range w.all {
-		for _, id := range n.ownership.Owned(w.now) {
+		for id := range n.ownership.Owned(w.now) {
 			out[id] = n.name
 		}
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -9,6 +9,7 @@
 	"errors"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -35,8 +36,15 @@
 	// of which some row changes many times a second. Half of the time in which
 	// a leaving upstream must get no more requests is left for the rest.
 	upstreamGap = 1100 * time.Millisecond
-	// fleetGap gathers the claims of a fleet that starts.
-	fleetGap = 400 * time.Millisecond
+	// fleetGap gathers the claims of a fleet that starts, and perMember those of
+	// a large one, of which each row would wake all instances: at 118 instances
+	// they are read each 3 s, and told in beats before.
+	fleetGap  = 400 * time.Millisecond
+	perMember = 25 * time.Millisecond
+	// configurationPerMember gathers configurations in quick succession: at 118
+	// instances they are read each 0.24 s, a tenth of the time for one to be in
+	// force.
+	configurationPerMember = 2 * time.Millisecond
 )
 
 // timelineEvents is the number of events that an instance keeps.
@@ -110,7 +118,7 @@
 	// ends is the instant at which the instance stops, or 0.
 	ends atomic.Int64
 	life context.Context
-	conn net.PacketConn
+	conn *net.UDPConn
 	// peers and fetching are the live peers and their adapter loads under way.
 	peers    atomic.Int64
 	fetching atomic.Int64
@@ -124,7 +132,11 @@
 // New returns an instance that is not started. It fails when the peer address
 // is taken.
 func New(c context.Context, k Config, a Adapter, t *timer.Service, r prometheus.Registerer, log *zap.Logger) (*Entry, error) {
-	conn, err := net.ListenPacket("udp", k.PeerAddress)
+	address, err := netip.ParseAddrPort(k.PeerAddress)
+	if err != nil {
+		return nil, eris.Wrap(err, "read the peer address")
+	}
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for beats")
 	}
@@ -136,7 +148,7 @@
 	recorder := timeline.New(k.Name, timelineEvents, t.Now)
 	e.mesh = mesh.New(k.PeerAddress, mesh.Clock{Tick: recorder.Tick, Observe: recorder.Observe})
 	e.gossip = gossip.New(k.Name, conn, t, log)
-	e.gossip.Compose, e.gossip.Heard, e.gossip.Addresses = e.compose, e.heard, e.addresses
+	e.gossip.Compose, e.gossip.Heard, e.gossip.Addresses, e.gossip.Zone = e.compose, e.heard, e.addresses, k.Zone
 	e.newFeeds(log)
 	e.newDuties(r, log)
 	e.handle()
@@ -152,8 +164,9 @@
 		e.feeds[table] = feed.New(table, e.Store, e.timer, log, changed)
 	}
 	u := e.feeds[e.Tables.Upstreams]
-	u.Gap, u.Due = upstreamGap, e.readsUpstreams
-	e.feeds[ownership.FleetTable].Gap = fleetGap
+	u.Gap, u.Due = func() time.Duration { return upstreamGap }, e.readsUpstreams
+	e.feeds[ownership.FleetTable].Gap = func() time.Duration { return max(fleetGap, e.members.each(perMember)) }
+	e.feeds[e.Tables.Configuration].Gap = func() time.Duration { return e.members.each(configurationPerMember) }
 }
 
 func (e *Entry) newDuties(r prometheus.Registerer, log *zap.Logger) {
@@ -314,8 +327,8 @@
 		_, err := e.ownership.Token(id, now)
 		return err == nil
 	}
-	p, heard := e.gossip.Peer(owner)
-	return heard && now-p.At < e.gossip.Silence() && !p.Surrendered && p.Lease != 0
+	p, heard := e.gossip.Hears(owner, now)
+	return heard && !p.Surrendered && p.Lease != 0
 }
 
 func (e *Entry) lost(id pool.ID, a pool.Adapter) {
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -34,6 +34,9 @@
 	houseInterval = 250 * time.Millisecond
 	// forgetMember is the silence after which a member's row is removed.
 	forgetMember = 20 * time.Second
+	// introduceTime is the age up to which an instance tells its addresses in
+	// its beats: the longest gap between two reads of the members.
+	introduceTime = 10 * time.Second
 	// youngTime is the age up to which an instance takes over levels.
 	youngTime = 2 * adoptWithin
 	joinRetry = 300 * time.Millisecond
@@ -73,6 +76,13 @@
 	m.known[name] = x
 }
 
+// each returns a time for each known member.
+func (m *members) each(d time.Duration) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return time.Duration(len(m.known)) * d
+}
+
 func (m *members) remove(name string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -150,50 +160,46 @@
 // compose returns what this instance tells the others.
 func (e *Entry) compose() gossip.Beat {
 	now := e.timer.Boot()
-	e.countPeers(now)
+	young := e.countPeers(now)
 	lease, surrendered := e.ownership.Lease(now)
 	b := gossip.Beat{
 		Run: e.run, Serving: e.Ready(), Zone: e.Zone, News: mirror.Version(e.news.Load()),
 		StoreUnsteady: !e.feeds[e.Tables.Upstreams].Steady(now, steadyTime), Uptime: now - e.began, Lease: lease, Surrendered: surrendered,
-		Uses: e.pool.OwnUses(), Held: map[pool.Tag]gossip.Places{}, Loading: e.orders.Own(),
-		Versions: map[string]mirror.Version{},
+		Work: e.pool.OwnWork(), Loading: e.orders.Own(), Versions: map[pool.Tag]mirror.Version{},
 	}
-	b.Spent, b.Left = e.quota.report(now)
-	if !e.anyYoung(now) {
+	if b.Uptime < introduceTime {
+		b.Front, b.Peer = e.FrontAddress, e.PeerAddress
+	}
+	_, far := e.gossip.Silence()
+	b.Spent, b.Left = e.quota.report(far, now)
+	if !young {
 		b.Left = nil
 	}
 	for t, f := range e.feeds {
-		b.Versions[t] = f.Mirror.Newest()
+		b.Versions[pool.NewTag(t)] = f.Mirror.Newest()
 	}
-	for _, id := range e.ownership.Owned(now) {
+	for id, k := range e.ownership.Owned(now) {
 		held, recent := e.pool.Held(id)
 		for a, h := range held {
 			h.ReadyAt = max(0, h.ReadyAt-now)
 			held[a] = h
 		}
-		b.Held[id.Tag()] = gossip.Places{Held: held, Recent: recent}
+		b.Places = append(b.Places, gossip.Places{Upstream: id.Tag(), Claim: mirror.Version(k), Held: held, Recent: recent})
 	}
 	return b
 }
 
-// countPeers sums up what the live peers told.
-func (e *Entry) countPeers(now time.Duration) {
+// countPeers sums up what the live peers told, and reports whether one of them
+// has just started.
+func (e *Entry) countPeers(now time.Duration) (young bool) {
 	live, loading := e.gossip.Live(now), 0
 	for _, p := range live {
 		loading += p.Loading
+		young = young || p.Uptime < youngTime
 	}
 	e.peers.Store(int64(len(live)))
 	e.fetching.Store(int64(loading))
-}
-
-// anyYoung reports whether an instance has just started.
-func (e *Entry) anyYoung(now time.Duration) bool {
-	for _, p := range e.gossip.Live(now) {
-		if p.Uptime < youngTime {
-			return true
-		}
-	}
-	return false
+	return young
 }
 
 // heard takes over what another instance tells.
@@ -202,21 +208,48 @@
 	if b.StoreUnsteady && b.Uptime > steadyTime {
 		e.unsteady.Store(int64(now))
 	}
-	e.pool.SetPeer(b.Name, b.Uses)
+	e.introduce(b)
+	e.pool.SetPeer(b.Name, b.Work)
 	e.quota.heard(b, now-e.began, now)
-	for t, p := range b.Held {
-		id, ok := e.pool.ByTag(t)
-		if owner, known := e.ownership.Owner(id); !ok || !known || owner != b.Name {
-			continue
-		}
-		for a, h := range p.Held {
-			if h.ReadyAt > 0 {
-				h.ReadyAt += now
-			}
-			p.Held[a] = h
+	for _, p := range b.Places {
+		e.heardPlaces(b.Name, p, now)
+	}
+}
+
+// introduce takes over the addresses of an instance that the store has not
+// told of yet.
+func (e *Entry) introduce(b gossip.Beat) {
+	if b.Peer == "" {
+		return
+	}
+	if _, ok := e.members.get(b.Name); ok {
+		return
+	}
+	peer, err := netip.ParseAddrPort(b.Peer)
+	if err != nil {
+		e.log.Warn("address in a beat cannot be read", zap.String("name", b.Name), zap.Error(err))
+		return
+	}
+	e.members.set(b.Name, member{front: b.Front, zone: b.Zone, peer: peer})
+	e.log.Info("member heard", zap.String("name", b.Name), zap.String("peer", b.Peer), zap.Int64("run", b.Run))
+}
+
+// heardPlaces takes over what the owner of an upstream tells of it.
+func (e *Entry) heardPlaces(owner string, p gossip.Places, now time.Duration) {
+	id, ok := e.pool.ByTag(p.Upstream)
+	if !ok || !e.ownership.Told(id, owner, p.Claim) {
+		return
+	}
+	for a, h := range p.Held {
+		if h.ReadyAt > 0 {
+			h.ReadyAt += now
 		}
-		e.pool.SetHeld(id, p.Held, p.Recent)
+		p.Held[a] = h
+	}
+	if !p.RecentTold {
+		_, p.Recent = e.pool.Held(id)
 	}
+	e.pool.SetHeld(id, p.Held, p.Recent)
 }
 
 // keepHouse forgets what is gone and reads what the store did not tell.
@@ -254,22 +287,22 @@
 
 // catchUp asks another instance for rows that the store has not told yet.
 func (e *Entry) catchUp(c context.Context, table string, f *feed.Feed) {
-	mine, now := f.Mirror.Newest(), e.timer.Boot()
-	var best gossip.Peer
+	mine, now, t := f.Mirror.Newest(), e.timer.Boot(), pool.NewTag(table)
+	var best *gossip.Peer
 	for _, p := range e.gossip.Live(now) {
-		if p.Versions[table] > max(mine, best.Versions[table]) {
+		if v := p.Versions[t]; v > mine && (best == nil || v > best.Versions[t]) {
 			best = p
 		}
 	}
 	b := e.behind[table]
 	switch {
-	case best.Name == "":
+	case best == nil:
 		delete(e.behind, table)
 		return
 	case mine >= b.version:
-		e.behind[table] = behind{version: best.Versions[table], since: now}
+		e.behind[table] = behind{version: best.Versions[t], since: now}
 		return
-	case now-b.since < f.Gap+behindTime && !f.Failing():
+	case now-b.since < f.Gap()+behindTime && !f.Failing():
 		return
 	}
 	m, ok := e.members.get(best.Name)
@@ -284,7 +317,7 @@
 		return
 	}
 	e.log.Info("newer rows read", zap.String("table", table), zap.String("from", best.Name), zap.Int("rows", len(r.Rows)),
-		zap.Int64("had", int64(mine)), zap.Int64("has", int64(best.Versions[table])))
+		zap.Int64("had", int64(mine)), zap.Int64("has", int64(best.Versions[t])))
 	f.Learn(r.mirrorRows())
 }
 
--- a/entry/quota.go
+++ b/entry/quota.go
@@ -6,6 +6,7 @@
 
 	"gentiangauge.example/gentiangauge/coordination/gossip"
 	"gentiangauge.example/gentiangauge/state/allowance"
+	"gentiangauge.example/gentiangauge/state/pool"
 	"gentiangauge.example/gentiangauge/state/route"
 )
 
@@ -15,13 +16,18 @@
 
 // quota holds the workspaces to their plans.
 type quota struct {
-	mu      sync.Mutex
-	plans   map[route.WorkspaceName]*allowance.Allowance
+	mu sync.Mutex
+	// plans are by the tag of the workspace.
+	plans   map[pool.Tag]*allowance.Allowance
 	adopted bool
 }
 
 func newQuota() *quota {
-	return &quota{plans: map[route.WorkspaceName]*allowance.Allowance{}}
+	return &quota{plans: map[pool.Tag]*allowance.Allowance{}}
+}
+
+func workspaceTag(n route.WorkspaceName) pool.Tag {
+	return pool.NewTag(string(n))
 }
 
 // setPlans takes over the rates of a configuration.
@@ -29,21 +35,21 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, w := range t.Workspaces {
-		if a, ok := q.plans[w.Name]; ok {
+		if a, ok := q.plans[workspaceTag(w.Name)]; ok {
 			a.SetPlan(w.Rate, w.Burst, now)
 			continue
 		}
-		q.plans[w.Name] = allowance.New(w.Rate, w.Burst, now)
+		q.plans[workspaceTag(w.Name)] = allowance.New(w.Rate, w.Burst, now)
 	}
 }
 
 func (q *quota) take(w *route.Workspace, units float64, now time.Duration) (time.Duration, bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	a, ok := q.plans[w.Name]
+	a, ok := q.plans[workspaceTag(w.Name)]
 	if !ok {
 		a = allowance.New(w.Rate, w.Burst, now)
-		q.plans[w.Name] = a
+		q.plans[workspaceTag(w.Name)] = a
 	}
 	return a.Take(units, now)
 }
@@ -51,17 +57,19 @@
 func (q *quota) giveBack(w *route.Workspace, units float64, now time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if a, ok := q.plans[w.Name]; ok {
+	if a, ok := q.plans[workspaceTag(w.Name)]; ok {
 		a.Return(units, now)
 	}
 }
 
-// report returns what was let through and what is left, by workspace.
-func (q *quota) report(now time.Duration) (spent, left map[route.WorkspaceName]float64) {
+// report returns what was let through and what is left, by workspace. Peers
+// are silent after the time given.
+func (q *quota) report(silence, now time.Duration) (spent, left map[pool.Tag]float64) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	spent, left = map[route.WorkspaceName]float64{}, map[route.WorkspaceName]float64{}
+	spent, left = make(map[pool.Tag]float64, len(q.plans)), make(map[pool.Tag]float64, len(q.plans))
 	for n, a := range q.plans {
+		a.SetSilence(silence)
 		spent[n], left[n] = a.Spent(), a.Level(now)
 	}
 	return spent, left
--- a/entry/readers.go
+++ b/entry/readers.go
@@ -10,12 +10,13 @@
 // readsUpstreams reports whether this instance reads the list of upstreams
 // now.
 func (e *Entry) readsUpstreams(idle time.Duration) bool {
-	now, silence := e.timer.Boot(), e.gossip.Silence()
+	now := e.timer.Boot()
+	near, _ := e.gossip.Silence()
 	live := e.gossip.Live(now)
 	peers := make([]reader.Peer, 0, len(live))
 	for _, p := range live {
 		peers = append(peers, reader.Peer{
-			Name: p.Name, Zone: p.Zone, News: p.News, Reads: p.Serving && !p.StoreUnsteady, Fresh: now-p.At < silence/2,
+			Name: p.Name, Zone: p.Zone, News: p.News, Reads: p.Serving && !p.StoreUnsteady, Fresh: now-p.At < near/2,
 		})
 	}
 	return reader.Due(reader.Self{Name: e.Name, Zone: e.Zone, News: mirror.Version(e.news.Load()), Idle: idle}, peers)
--- a/state/pool/choose.go
+++ b/state/pool/choose.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"gentiangauge.example/gentiangauge/state/route"
 )
 
@@ -84,21 +82,26 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var best Choice
+	var chosen *entry
 	var cost time.Duration
-	found := false
 	for id, e := range p.entries {
 		if e.Service != a.Service || a.Avoid[id] || !e.usable(a, now) {
 			continue
 		}
 		c, x := e.price(a, now)
-		if c.Load && a.Orderable != nil && !a.Orderable(id) {
+		if chosen != nil && (x > cost || x == cost && id > chosen.ID) {
 			continue
 		}
-		if !found || x < cost || x == cost && id < best.ID {
-			best, cost, found = c, x, true
+		if c.Load && a.Orderable != nil && !a.Orderable(id) {
+			continue
 		}
+		best, chosen, cost = c, e, x
+	}
+	if chosen == nil {
+		return best, false
 	}
-	return best, found
+	best.Upstream = chosen.Upstream
+	return best, true
 }
 
 func (e *entry) usable(a Ask, now time.Duration) bool {
@@ -112,9 +115,10 @@
 	return ok
 }
 
-// price returns the choice of the upstream and its cost as a time.
+// price returns the choice of the upstream, but for what the list says of it,
+// and its cost as a time.
 func (e *entry) price(a Ask, now time.Duration) (Choice, time.Duration) {
-	c := Choice{Upstream: e.Upstream, Busy: e.total}
+	c := Choice{Busy: e.total}
 	c.Room = c.Busy.Running < e.Slots/2
 	cost := time.Duration(float64(failurePenalty) * e.health.failing)
 	if e.Zone != a.Zone {
@@ -160,7 +164,7 @@
 	c.Load, c.Version = true, a.Version
 	cost := a.Engine.Reload
 	if !e.recent[t] {
-		cost = a.Engine.Load + fetchPenalty + e.rank(a.Adapter)
+		cost = a.Engine.Load + fetchPenalty + e.rank(t)
 	}
 	idle := a.Engine.AdapterSlots - len(e.held)
 	if idle > 0 && !ok {
@@ -185,8 +189,9 @@
 }
 
 // rank spreads adapters over engines in the same way at all instances.
-func (e *entry) rank(a Adapter) time.Duration {
-	const places = 8
-	h := xxhash.Sum64String(string(e.ID) + "/" + string(a.Model) + "/" + string(a.Name))
-	return rankStep * time.Duration(h%places)
+func (e *entry) rank(a Tag) time.Duration {
+	// Constants and shift of the finalizer of MurmurHash3.
+	const places, first, second = 8, 0x85ebca6b, 0xc2b2ae35
+	h := (uint32(e.tag)*first ^ uint32(a)) * second
+	return rankStep * time.Duration((h^h>>16)%places)
 }
--- a/state/pool/pool.go
+++ b/state/pool/pool.go
@@ -21,18 +21,24 @@
 	Name  route.AdapterName
 }
 
-// Tag stands for an adapter or an upstream where many are told of: 32 bits of
-// the hash of its name. Two that share a tag only make an estimate worse.
+// Tag stands for an adapter, an upstream or a workspace where many are told of:
+// 32 bits of the hash of its name. Two that share a tag only make an estimate
+// worse.
 type Tag uint32
 
+// NewTag returns the tag of a name.
+func NewTag(name string) Tag {
+	return Tag(xxhash.Sum64String(name))
+}
+
 // Tag returns the tag of an adapter.
 func (a Adapter) Tag() Tag {
-	return Tag(xxhash.Sum64String(string(a.Model) + "/" + string(a.Name)))
+	return NewTag(string(a.Model) + "/" + string(a.Name))
 }
 
 // Tag returns the tag of an upstream.
 func (i ID) Tag() Tag {
-	return Tag(xxhash.Sum64String(string(i)))
+	return NewTag(string(i))
 }
 
 // Held is an adapter on an upstream.
@@ -68,6 +74,13 @@
 	Tokens int
 }
 
+// Work is the use of an adapter on an upstream by one instance.
+type Work struct {
+	Upstream Tag
+	Adapter  Tag
+	Use
+}
+
 func (u *Use) add(o Use, sign int) {
 	u.Running += sign * o.Running
 	u.Unread += sign * o.Unread
@@ -77,13 +90,13 @@
 // entry is an upstream with what this instance and its peers observe.
 type entry struct {
 	Upstream
+	tag Tag
 	// goneAt is the instant from which the upstream is no longer used, or 0.
 	goneAt time.Duration
 	held   map[Tag]Held
 	// recent are the adapters that the upstream loads faster.
 	recent map[Tag]bool
 	own    map[Tag]*Use
-	peers  map[string]map[Tag]Use
 	// total is the work of all instances, running that by adapter.
 	total   Use
 	running map[Tag]int
@@ -98,13 +111,13 @@
 	mu      sync.Mutex
 	entries map[ID]*entry
 	tags    map[Tag]*entry
-	// seen are the upstreams on which each peer had work.
-	seen map[string][]*entry
+	// peers is the work that each peer told of.
+	peers map[string][]Work
 }
 
 // New returns an empty pool.
 func New() *Pool {
-	return &Pool{entries: map[ID]*entry{}, tags: map[Tag]*entry{}, seen: map[string][]*entry{}}
+	return &Pool{entries: map[ID]*entry{}, tags: map[Tag]*entry{}, peers: map[string][]Work{}}
 }
 
 // Put adds or updates an upstream. A new start of its process clears what was
@@ -114,27 +127,28 @@
 	defer p.mu.Unlock()
 	e, ok := p.entries[u.ID]
 	if !ok || e.Born != u.Born || e.Address != u.Address {
-		n := &entry{Upstream: u, held: map[Tag]Held{}, own: map[Tag]*Use{}, peers: map[string]map[Tag]Use{}, running: map[Tag]int{}, pace: 1}
+		n := &entry{Upstream: u, tag: u.ID.Tag(), held: map[Tag]Held{}, own: map[Tag]*Use{}, running: map[Tag]int{}, pace: 1}
 		for a, v := range u.Adapters {
 			n.held[a.Tag()] = Held{Version: v}
 		}
 		if ok {
-			n.own, n.peers, n.total, n.running = e.own, e.peers, e.total, e.running
-			p.replace(e, n)
+			n.own, n.total, n.running = e.own, e.total, e.running
+		} else {
+			p.countPeers(n)
 		}
-		p.entries[u.ID], p.tags[u.ID.Tag()] = n, n
+		p.entries[u.ID], p.tags[n.tag] = n, n
 		return
 	}
 	e.Upstream = u
 	e.goneAt = 0
 }
 
-// replace puts the new start of an upstream in the place of the old one.
-func (p *Pool) replace(old, next *entry) {
-	for _, l := range p.seen {
-		for i := range l {
-			if l[i] == old {
-				l[i] = next
+// countPeers adds what the peers told of an upstream before it was known.
+func (p *Pool) countPeers(e *entry) {
+	for _, l := range p.peers {
+		for _, w := range l {
+			if w.Upstream == e.tag {
+				e.count(w.Adapter, w.Use, 1)
 			}
 		}
 	}
@@ -227,50 +241,37 @@
 	}
 }
 
-// OwnUses returns the work of this instance by upstream.
-func (p *Pool) OwnUses() map[Tag]map[Tag]Use {
+// OwnWork returns the work of this instance.
+func (p *Pool) OwnWork() []Work {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	out := map[Tag]map[Tag]Use{}
-	for id, e := range p.entries {
-		if len(e.own) == 0 {
-			continue
-		}
-		m := make(map[Tag]Use, len(e.own))
+	var out []Work
+	for _, e := range p.entries {
 		for a, u := range e.own {
-			m[a] = *u
+			out = append(out, Work{Upstream: e.tag, Adapter: a, Use: *u})
 		}
-		out[id.Tag()] = m
 	}
 	return out
 }
 
-// SetPeer replaces what a peer has on the upstreams. A nil map forgets the
-// peer.
-func (p *Pool) SetPeer(name string, uses map[Tag]map[Tag]Use) {
+// SetPeer replaces the work of a peer. A nil list forgets the peer.
+func (p *Pool) SetPeer(name string, work []Work) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, e := range p.seen[name] {
-		for t, u := range e.peers[name] {
-			e.count(t, u, -1)
-		}
-		delete(e.peers, name)
+	p.countWork(p.peers[name], -1)
+	p.countWork(work, 1)
+	if len(work) == 0 {
+		delete(p.peers, name)
+		return
 	}
-	seen := p.seen[name][:0]
-	for id, m := range uses {
-		e, ok := p.tags[id]
-		if !ok || len(m) == 0 {
-			continue
-		}
-		for t, u := range m {
-			e.count(t, u, 1)
+	p.peers[name] = work
+}
+
+func (p *Pool) countWork(work []Work, sign int) {
+	for _, w := range work {
+		if e, ok := p.tags[w.Upstream]; ok {
+			e.count(w.Adapter, w.Use, sign)
 		}
-		e.peers[name] = m
-		seen = append(seen, e)
-	}
-	p.seen[name] = seen
-	if len(seen) == 0 {
-		delete(p.seen, name)
 	}
 }
 
--- a/state/pool/pool_test.go
+++ b/state/pool/pool_test.go
@@ -121,8 +121,8 @@
 	p := engines(2)
 	hold(p, "e0", a1)
 	hold(p, "e1", a1)
-	p.SetPeer("other", map[pool.Tag]map[pool.Tag]pool.Use{
-		pool.ID("e0").Tag(): {a1.Tag(): {Running: 3, Unread: 7200, Tokens: 7300}},
+	p.SetPeer("other", []pool.Work{
+		{Upstream: pool.ID("e0").Tag(), Adapter: a1.Tag(), Use: pool.Use{Running: 3, Unread: 7200, Tokens: 7300}},
 	})
 	if c := choose(t, p, ask(a1)); c.ID != "e1" {
 		t.Errorf("chosen %s, want e1", c.ID)
@@ -136,6 +136,26 @@
 	}
 }
 
+// TestWorkToldBeforeTheUpstreamIsKnownCounts replays a list of upstreams that
+// is read later than the beats arrive, and an upstream that leaves and returns.
+func TestWorkToldBeforeTheUpstreamIsKnownCounts(t *testing.T) {
+	p := pool.New()
+	p.SetPeer("other", []pool.Work{{Upstream: pool.ID("e0").Tag(), Adapter: a1.Tag(), Use: pool.Use{Running: 2}}})
+	for range 2 {
+		p.Put(engine("e0"))
+		if n := p.InUse("e0", a1); n != 2 {
+			t.Errorf("%d in use, want 2", n)
+		}
+		p.Remove("e0", now)
+		p.Sweep(now)
+	}
+	p.Put(engine("e0"))
+	p.SetPeer("other", nil)
+	if n := p.InUse("e0", a1); n != 0 {
+		t.Errorf("%d in use after the peer is gone, want 0", n)
+	}
+}
+
 // TestFailingEngineIsLeftAlone replays an engine that fails each second
 // request while the list calls it ready.
 func TestFailingEngineIsLeftAlone(t *testing.T) {
@@ -209,7 +229,9 @@
 	for i := range 140 {
 		hold(p, pool.ID(fmt.Sprintf("e%d", i)), pool.Adapter{Model: "m", Name: route.AdapterName(fmt.Sprint(i))})
 	}
+	q := ask(a1)
+	q.Orderable = func(pool.ID) bool { return true }
 	for b.Loop() {
-		p.Choose(ask(a1), now)
+		p.Choose(q, now)
 	}
 }
--- a/state/route/route.go
+++ b/state/route/route.go
@@ -91,21 +91,20 @@
 	Slots        int
 	CacheTokens  int
 	AdapterSlots int
-	Models       []Model
+	// LoadsPerSecond is the number of base models a second that the weight store
+	// hands out.
+	LoadsPerSecond float64
+	Models         []Model
 }
 
 // Model is a base model that engines may hold.
 type Model struct {
-	Name     ModelName
-	LoadTime time.Duration
-	DiskTime time.Duration
-	Adapters int
+	Name ModelName
 }
 
 // Service is a group of equal upstreams.
 type Service struct {
-	Name           ServiceName
-	MaxConnections int
+	Name ServiceName
 	// Engine is nil for plain services.
 	Engine *Engine
 }
