--- a/coordination/orders/engine.go
+++ b/coordination/orders/engine.go
@@ -71,6 +71,15 @@
 	// Cold is the time of an adapter from the weight store, Warm of one that
 	// the engine held recently.
 	Cold, Warm time.Duration
-	// Parallel is the number of loads over the fleet that run at full speed.
-	Parallel int
+	// Parallel is the least number of adapter loads over the fleet that run at
+	// full speed, PerModelLoad the number for each load of a base model a second
+	// that the weight store allows.
+	Parallel     int
+	PerModelLoad float64
+}
+
+// parallel is the number of adapter loads over the fleet that run at full
+// speed.
+func (t Timing) parallel(n *route.Engine) int {
+	return max(t.Parallel, int(t.PerModelLoad*n.LoadsPerSecond))
 }
--- a/coordination/orders/orders.go
+++ b/coordination/orders/orders.go
@@ -106,12 +106,13 @@
 	}
 	now := o.Timer.Boot()
 	loading := o.Loading() + o.Own()
-	e.advance(now, loading, o.Timing.Parallel)
+	parallel := o.Timing.parallel(n)
+	e.advance(now, loading, parallel)
 	inUse := func(x pool.Adapter) int { return o.Pool.InUse(id, x) }
 	d, x := e.plan(a, v, n.AdapterSlots, inUse, now)
 	switch d {
 	case evict, load:
-		if !e.mayFetch(a, loading, o.Timing.Parallel) {
+		if !e.mayFetch(a, loading, parallel) {
 			return 0, ErrStoreBusy
 		}
 	case full:
@@ -127,7 +128,7 @@
 			return 0, err
 		}
 	}
-	return o.order(c, e, a, v)
+	return o.order(c, e, a, v, parallel)
 }
 
 // sync reads the state of an engine when this instance has just become its
@@ -274,7 +275,7 @@
 	return nil
 }
 
-func (o *Orders) order(c context.Context, e *engine, a pool.Adapter, v route.Version) (time.Duration, error) {
+func (o *Orders) order(c context.Context, e *engine, a pool.Adapter, v route.Version, parallel int) (time.Duration, error) {
 	r, err := o.send(c, e, Order{Adapter: a, Version: v})
 	if err != nil {
 		return 0, err
@@ -296,7 +297,7 @@
 	e.places[a] = p
 	delete(e.recent, a.Tag())
 	delete(e.dropped, a)
-	e.advance(now, o.Loading()+o.Own()+1, o.Timing.Parallel)
+	e.advance(now, o.Loading()+o.Own()+1, parallel)
 	p.used(now, 1)
 	p.grantedUntil = p.readyAt + grantTime
 	o.publish(e, e.upstream.ID)
--- a/coordination/orders/orders_test.go
+++ b/coordination/orders/orders_test.go
@@ -40,6 +40,10 @@
 }
 
 func newBench(t *testing.T, loading int) *bench {
+	return newBenchOf(t, loading, route.Engine{AdapterSlots: slots})
+}
+
+func newBenchOf(t *testing.T, loading int, n route.Engine) *bench {
 	b := &bench{t: t, now: time.Hour, places: map[pool.Adapter]route.Version{}, ready: map[pool.Adapter]time.Duration{}, pool: pool.New()}
 	k := &timer.Service{Boot: func() time.Duration { return b.now }}
 	b.pool.Put(pool.Upstream{ID: "e0", Service: "models", Born: 1, Models: map[route.ModelName]route.Version{"m": 1}})
@@ -51,8 +55,8 @@
 	b.pass(2 * time.Second)
 	b.orders = orders.New(t.Context(), orders.Services{
 		Engines: &orders.Engines{Report: b.report, Order: b.order}, Timer: k, Pool: b.pool, Ownership: b.owner, Log: zap.NewNop(),
-		Timing:  orders.Timing{Cold: 250 * time.Millisecond, Warm: 25 * time.Millisecond, Parallel: 8},
-		Engine:  func(route.ServiceName) (*route.Engine, bool) { return &route.Engine{AdapterSlots: slots}, true },
+		Timing:  orders.Timing{Cold: 250 * time.Millisecond, Warm: 25 * time.Millisecond, Parallel: 8, PerModelLoad: 2},
+		Engine:  func(route.ServiceName) (*route.Engine, bool) { return &n, true },
 		Loading: func() int { return loading },
 	})
 	return b
@@ -190,6 +194,17 @@
 	}
 }
 
+// TestLargeWeightStoreHandsOutMoreAdapters replays 140 engines, whose weight
+// store hands out 80 adapters at full speed.
+func TestLargeWeightStoreHandsOutMoreAdapters(t *testing.T) {
+	b := newBenchOf(t, 70, route.Engine{AdapterSlots: slots, LoadsPerSecond: 42})
+	for i := range 3 {
+		if _, err := b.load(i); err != nil {
+			t.Errorf("load %d while 70 of 80 are under way: %v", i, err)
+		}
+	}
+}
+
 // TestLoadsWaitWhileTheWeightStoreIsBusy replays the start of traffic, when
 // most requests ask for adapters that no engine has.
 func TestLoadsWaitWhileTheWeightStoreIsBusy(t *testing.T) {
