placement: a returning owner of the load permits grants at once

Ruled out: permits of the killed instance (in flight is far under the limit), evictions held back (engines that stall were opened before the fault). Change: members report the last grant and the end of their duty; the new owner goes on from there if no other one can have been between.

--- a/coordination/placement/permits.go
+++ b/coordination/placement/permits.go
@@ -48,12 +48,16 @@
 }
 
 func (p *Placement) tendPermits(c context.Context, now time.Time) {
+	epoch := p.Fleet.Members().Epoch
 	tenure, ok := p.Fleet.Owns(permitsName)
+	if ok {
+		p.permitsEpoch.Store(int64(epoch))
+	}
 	fresh := false
 	_ = p.permits.Do(c, func(s *adapter.Permits) {
 		switch {
 		case !ok:
-			s.Close()
+			s.Close(now)
 		case s.Tenure() != int64(tenure):
 			fresh = true
 		default:
@@ -65,20 +69,51 @@
 	}
 }
 
-// beginPermits asks the members for the permits that they hold.
+// beginPermits asks the members for the permits that they hold, and for the
+// last grant of the one that was the owner before.
 func (p *Placement) beginPermits(c context.Context, t lease.Tenure) {
 	x, cancel := context.WithTimeout(c, callTimeout)
 	defer cancel()
-	outstanding := p.heldPermits()
+	replies := gather[permitReportQuery, permitReportReply](x, p, permitReportMethod, &permitReportQuery{})
+	replies[p.Fleet.Self()] = p.reportPermits(c)
+	now := p.Timer.Now()
+	var outstanding []string
+	var last time.Time
 	silent := 0
-	for _, r := range gather[permitReportQuery, permitReportReply](x, p, permitReportMethod, &permitReportQuery{}) {
+	for _, r := range replies {
 		if r == nil {
 			silent++
 			continue
 		}
 		outstanding = append(outstanding, r.IDs...)
+		if at := now.Add(-time.Duration(r.GrantedAgoMs) * time.Millisecond); p.latest(r) && at.After(last) {
+			last = at
+		}
+	}
+	_ = p.permits.Do(c, func(s *adapter.Permits) { s.Begin(int64(t), outstanding, silent, last, now) })
+}
+
+// latest reports whether a member was the owner of the permits before this
+// instance, with no other one between that does not answer: the end of such a
+// one is known a lease after it at the earliest, and its tenure begins a lease
+// after the one before, or with an epoch of the roster.
+func (p *Placement) latest(r *permitReportReply) bool {
+	ended := time.Duration(r.EndedAgoMs) * time.Millisecond
+	span := p.config.OrderWait
+	if lease.Epoch(r.Epoch) == p.Fleet.Members().Epoch {
+		span *= 2
 	}
-	_ = p.permits.Do(c, func(s *adapter.Permits) { s.Begin(int64(t), outstanding, silent, p.Timer.Now()) })
+	return r.Former && ended < span
+}
+
+func (p *Placement) reportPermits(c context.Context) *permitReportReply {
+	r := &permitReportReply{IDs: p.heldPermits(), Epoch: p.permitsEpoch.Load()}
+	_ = p.permits.Do(c, func(s *adapter.Permits) {
+		now := p.Timer.Now()
+		last, ended, ok := s.Former(now)
+		r.Former, r.GrantedAgoMs, r.EndedAgoMs = ok, now.Sub(last).Milliseconds(), ended.Milliseconds()
+	})
+	return r
 }
 
 func (p *Placement) registerPermits() {
@@ -86,8 +121,8 @@
 	mesh.Handle(p.Mesh, permitReleaseMethod, func(c context.Context, _ string, q *permitReleaseQuery) (*releaseReply, error) {
 		return &releaseReply{}, p.permits.Do(c, func(s *adapter.Permits) { s.Remove(q.ID) })
 	})
-	mesh.Handle(p.Mesh, permitReportMethod, func(context.Context, string, *permitReportQuery) (*permitReportReply, error) {
-		return &permitReportReply{IDs: p.heldPermits()}, nil
+	mesh.Handle(p.Mesh, permitReportMethod, func(c context.Context, _ string, _ *permitReportQuery) (*permitReportReply, error) {
+		return p.reportPermits(c), nil
 	})
 }
 
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -82,6 +82,9 @@
 	choose     adapter.Chooser
 
 	sequence atomic.Int64
+	// permitsEpoch is the epoch of the roster in which this instance last owned
+	// the permits.
+	permitsEpoch atomic.Int64
 
 	mu    sync.Mutex
 	uses  map[adapter.UseID]adapter.Use
--- a/coordination/placement/wire.go
+++ b/coordination/placement/wire.go
@@ -109,9 +109,16 @@
 	mesh.Message
 }
 
+// permitReportReply tells the permits that a member holds, and, if it is or was
+// the owner of the permits, the times since its last grant and since its end,
+// and the epoch of the roster in which it last was.
 type permitReportReply struct {
 	mesh.Message
-	IDs []string `protobuf:"bytes,1,rep,name=ids,proto3"`
+	IDs          []string `protobuf:"bytes,1,rep,name=ids,proto3"`
+	Former       bool     `protobuf:"varint,2,opt,name=former,proto3"`
+	GrantedAgoMs int64    `protobuf:"varint,3,opt,name=granted_ago_ms,proto3"`
+	EndedAgoMs   int64    `protobuf:"varint,4,opt,name=ended_ago_ms,proto3"`
+	Epoch        int64    `protobuf:"varint,5,opt,name=epoch,proto3"`
 }
 
 type viewMessage struct {
--- a/state/adapter/adapter_test.go
+++ b/state/adapter/adapter_test.go
@@ -169,7 +169,7 @@
 		longest := 5 * time.Second
 		now := start
 		p := adapter.NewPermits(rate, limit, longest)
-		p.Begin(1, nil, 0, now)
+		p.Begin(1, nil, 0, time.Time{}, now)
 		var grants []time.Time
 		held := map[string]time.Time{}
 		answers := map[string]chan bool{}
@@ -179,11 +179,14 @@
 			answers[id] = make(chan bool, 1)
 			p.Request(id, "w", answers[id], now)
 			if rapid.IntRange(0, 40).Draw(t, "move") == 0 {
-
 				outstanding := slices.Sorted(maps.Keys(held))
-				p.Close()
+				p.Close(now)
+				last := time.Time{}
+				if rapid.Bool().Draw(t, "the earlier owner answers") {
+					last, _, _ = p.Former(now)
+				}
 				p = adapter.NewPermits(rate, limit, longest)
-				p.Begin(int64(i+2), outstanding, 0, now)
+				p.Begin(int64(i+2), outstanding, 0, last, now)
 			}
 			p.Grant(now)
 			for _, id := range slices.Sorted(maps.Keys(answers)) {
@@ -215,6 +218,33 @@
 	})
 }
 
+// TestOwnerThatReturnsGrantsAtOnce replays an instance that freezes, is
+// followed by another one, and takes the duty back from that one.
+func TestOwnerThatReturnsGrantsAtOnce(t *testing.T) {
+	second := adapter.NewPermits(3, 8, time.Second)
+	second.Begin(1, nil, 1, time.Time{}, start)
+	now := start.Add(2 * time.Second)
+	answer := make(chan bool, 1)
+	second.Request("a", "w", answer, now)
+	second.Grant(now)
+	second.Close(now)
+	now = now.Add(time.Second)
+	last, ended, ok := second.Former(now)
+	if !ok || ended != time.Second {
+		t.Fatalf("former owner %v, ended %v ago, want a second", ok, ended)
+	}
+	first := adapter.NewPermits(3, 8, time.Second)
+	first.Begin(2, nil, 0, last, now)
+	first.Request("b", "w", answer, now)
+	<-answer
+	first.Grant(now)
+	select {
+	case <-answer:
+	default:
+		t.Error("no permit, though the last one was granted a second ago")
+	}
+}
+
 func ExampleChooseAffinity() {
 	views := func() []adapter.View {
 		return []adapter.View{
--- a/state/adapter/permits.go
+++ b/state/adapter/permits.go
@@ -21,6 +21,10 @@
 	// next is the earliest instant of the next grant.
 	next    time.Time
 	granted map[string]time.Time
+	// last is the last grant by this instance or an earlier owner, ended the end
+	// of the last tenure.
+	last  time.Time
+	ended time.Time
 	// unknown permits may be in flight until the instant unknownUntil.
 	unknown      int
 	unknownUntil time.Time
@@ -47,11 +51,15 @@
 	}
 }
 
-// Begin starts a tenure with the permits that the members report. The
-// earlier owner may have granted until now, so a full second passes first.
-func (p *Permits) Begin(t int64, outstanding []string, silent int, now time.Time) {
+// Begin starts a tenure with the permits that the members report. Last is the
+// last grant of the earlier owner, if that one reported it. Otherwise it may
+// have granted until now, so a full second passes first.
+func (p *Permits) Begin(t int64, outstanding []string, silent int, last, now time.Time) {
 	p.tenure = t
-	p.next = now.Add(time.Second)
+	if last.IsZero() {
+		last = now.Add(time.Second - p.interval)
+	}
+	p.last, p.next = last, last.Add(p.interval)
 	p.granted = map[string]time.Time{}
 	for _, id := range outstanding {
 		p.granted[id] = now
@@ -61,6 +69,18 @@
 	p.fail()
 }
 
+// Former returns the last grant that this instance knows of, and how long ago
+// its tenure ended. It returns false if it had none.
+func (p *Permits) Former(now time.Time) (last time.Time, ended time.Duration, ok bool) {
+	switch {
+	case p.tenure != 0:
+		return p.last, 0, true
+	case p.ended.IsZero():
+		return time.Time{}, 0, false
+	}
+	return p.last, now.Sub(p.ended), true
+}
+
 // Tenure returns the tenure that the permits were begun for, or 0.
 func (p *Permits) Tenure() int64 {
 	return p.tenure
@@ -72,7 +92,10 @@
 }
 
 // Close ends the tenure and refuses every request.
-func (p *Permits) Close() {
+func (p *Permits) Close(now time.Time) {
+	if p.tenure != 0 {
+		p.ended = now
+	}
 	p.tenure = 0
 	p.fail()
 }
@@ -121,7 +144,7 @@
 	}
 	w := p.waiting[best]
 	p.waiting = slices.Delete(p.waiting, best, best+1)
-	p.granted[w.id] = now
+	p.granted[w.id], p.last = now, now
 	p.served[w.workspace] = now
 	p.next = now.Add(p.interval)
 	w.answer <- true
