--- a/coordination/orders/orders.go
+++ b/coordination/orders/orders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -48,7 +49,6 @@
 	Pool      *pool.Pool
 	Ownership *ownership.Ownership
 	Log       *zap.Logger
-	Timing    Timing
 	// Engine returns what the configuration says of a service's engines.
 	Engine func(s route.ServiceName) (*route.Engine, bool)
 	// Loading returns the adapter loads that other owners have under way.
@@ -59,15 +59,23 @@
 type Orders struct {
 	Services
 	life    context.Context
+	timing  atomic.Pointer[Timing]
 	mu      sync.Mutex
 	workers map[pool.ID]*worker.Worker[engine]
 	loading map[pool.ID]int
 }
 
 // New returns the orders of an instance, whose workers end with c.
-func New(c context.Context, s Services) *Orders {
+func New(c context.Context, t Timing, s Services) *Orders {
 	s.Log = s.Log.Named("orders")
-	return &Orders{Services: s, life: c, workers: map[pool.ID]*worker.Worker[engine]{}, loading: map[pool.ID]int{}}
+	o := &Orders{Services: s, life: c, workers: map[pool.ID]*worker.Worker[engine]{}, loading: map[pool.ID]int{}}
+	o.SetTiming(t)
+	return o
+}
+
+// SetTiming changes the assumed times and limits of loads.
+func (o *Orders) SetTiming(t Timing) {
+	o.timing.Store(&t)
 }
 
 func newEngine() *engine {
@@ -106,7 +114,7 @@
 	}
 	now := o.Timer.Boot()
 	loading := o.Loading() + o.Own()
-	parallel := o.Timing.parallel(n)
+	parallel := o.timing.Load().parallel(n)
 	e.advance(now, loading, parallel)
 	inUse := func(x pool.Adapter) int { return o.Pool.InUse(id, x) }
 	d, x := e.plan(a, v, n.AdapterSlots, inUse, now)
@@ -169,7 +177,7 @@
 		}
 	}
 	e.token, e.sequence, e.synced = t, r.Sequence, true
-	e.merge(r, now, o.Timing.Cold)
+	e.merge(r, now, o.timing.Load().Cold)
 	o.publish(e, id)
 	return nil
 }
@@ -284,9 +292,9 @@
 	p := &place{version: v, orderedAt: now, readyAt: now, scoreAt: now}
 	if r == Accepted {
 		_, warm := e.recent[a.Tag()]
-		p.left, p.fetched = o.Timing.Cold, !warm
+		p.left, p.fetched = o.timing.Load().Cold, !warm
 		if warm {
-			p.left = o.Timing.Warm
+			p.left = o.timing.Load().Warm
 		}
 	} else {
 		e.synced = false
--- a/coordination/orders/orders_test.go
+++ b/coordination/orders/orders_test.go
@@ -39,6 +39,8 @@
 	owner  *ownership.Ownership
 }
 
+var timing = orders.Timing{Cold: 250 * time.Millisecond, Warm: 25 * time.Millisecond, Parallel: 8, PerModelLoad: 2}
+
 func newBench(t *testing.T, loading int) *bench {
 	return newBenchOf(t, loading, route.Engine{AdapterSlots: slots})
 }
@@ -53,9 +55,8 @@
 		Wanted: func(pool.Upstream) bool { return true },
 	})
 	b.pass(2 * time.Second)
-	b.orders = orders.New(t.Context(), orders.Services{
+	b.orders = orders.New(t.Context(), timing, orders.Services{
 		Engines: &orders.Engines{Report: b.report, Order: b.order}, Timer: k, Pool: b.pool, Ownership: b.owner, Log: zap.NewNop(),
-		Timing:  orders.Timing{Cold: 250 * time.Millisecond, Warm: 25 * time.Millisecond, Parallel: 8, PerModelLoad: 2},
 		Engine:  func(route.ServiceName) (*route.Engine, bool) { return &n, true },
 		Loading: func() int { return loading },
 	})
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -116,7 +116,9 @@
 	quota     *quota
 	versions  versions
 	members   members
-	leaving   atomic.Bool
+	// versionGrace is Config.VersionGrace as it was reloaded.
+	versionGrace atomic.Int64
+	leaving      atomic.Bool
 	// ends is the instant at which the instance stops, or 0.
 	ends atomic.Int64
 	life context.Context
@@ -151,6 +153,7 @@
 	e.mesh = mesh.New(k.PeerAddress, mesh.Clock{Tick: recorder.Tick, Observe: recorder.Observe})
 	e.gossip = gossip.New(k.Name, conn, t, log)
 	e.gossip.Compose, e.gossip.Heard, e.gossip.Addresses, e.gossip.Zone = e.compose, e.heard, e.addresses, k.Zone
+	e.versionGrace.Store(int64(k.VersionGrace))
 	e.newFeeds(log)
 	e.newDuties(r, log)
 	e.handle()
@@ -176,8 +179,8 @@
 		Store: e.Store, Timer: e.timer, Gossip: e.gossip, Pool: e.pool, Log: log,
 		Wanted: func(u pool.Upstream) bool { _, ok := e.engine(u.Service); return ok && !u.Draining },
 	})
-	e.orders = orders.New(e.life, orders.Services{
-		Engines: e.Engines, Timer: e.timer, Pool: e.pool, Ownership: e.ownership, Log: log, Timing: e.Timing,
+	e.orders = orders.New(e.life, e.Timing, orders.Services{
+		Engines: e.Engines, Timer: e.timer, Pool: e.pool, Ownership: e.ownership, Log: log,
 		Engine: e.engine, Loading: e.loading,
 	})
 	e.Dispatcher = dispatch.New(e.Config.Dispatch, dispatch.Services{
@@ -215,6 +218,14 @@
 	}
 }
 
+// Reload takes over the part of the configuration that may change while the
+// instance runs: the limits of retries, loads and versions.
+func (e *Entry) Reload(k Config) {
+	e.versionGrace.Store(int64(k.VersionGrace))
+	e.orders.SetTiming(k.Timing)
+	e.Dispatcher.SetRetries(k.Dispatch.RetryRatio, k.Dispatch.RetryBurst)
+}
+
 // Ready reports whether the instance can serve callers.
 func (e *Entry) Ready() bool {
 	return !e.leaving.Load() && e.table.Load() != nil && e.feeds[e.Tables.Upstreams].Mirror.Loaded()
--- a/entry/rows.go
+++ b/entry/rows.go
@@ -84,7 +84,7 @@
 	e.versions.mu.Lock()
 	defer e.versions.mu.Unlock()
 	s := e.versions.known[a]
-	if now-s.seen < e.VersionGrace {
+	if now-s.seen < time.Duration(e.versionGrace.Load()) {
 		return s.newest, s.previous
 	}
 	return s.newest, s.newest
--- a/logs/logs.go
+++ b/logs/logs.go
@@ -28,21 +28,21 @@
 type Log struct {
 	*zap.Logger
 	lines   *ring.Ring[[]byte]
+	level   zap.AtomicLevel
 	dropped atomic.Int64
 }
 
 // New returns a log of JSON lines to w. The field part is the fixed prefix of
 // each part.
 func New(level string, w io.Writer) (*Log, error) {
-	l, err := zapcore.ParseLevel(level)
-	if err != nil {
-		return nil, eris.Wrap(err, "log level")
+	x := &Log{lines: ring.New[[]byte](ringLines), level: zap.NewAtomicLevel()}
+	if err := x.SetLevel(level); err != nil {
+		return nil, err
 	}
 	e := zap.NewProductionEncoderConfig()
 	e.TimeKey, e.NameKey, e.StacktraceKey, e.CallerKey = "time", "part", "", ""
 	e.EncodeTime = zapcore.ISO8601TimeEncoder
-	x := &Log{lines: ring.New[[]byte](ringLines)}
-	core := plainErrors{zapcore.NewCore(zapcore.NewJSONEncoder(e), zapcore.AddSync(x), l)}
+	core := plainErrors{zapcore.NewCore(zapcore.NewJSONEncoder(e), zapcore.AddSync(x), x.level)}
 	x.Logger = zap.New(zapcore.NewSamplerWithOptions(core, time.Second, perSecond, beyond, zapcore.SamplerHook(x.sampled)))
 	go func() {
 		for b := range x.lines.Out() {
@@ -53,6 +53,16 @@
 	return x, nil
 }
 
+// SetLevel changes the least level of the lines that are written.
+func (l *Log) SetLevel(level string) error {
+	x, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return eris.Wrap(err, "log level")
+	}
+	l.level.SetLevel(x)
+	return nil
+}
+
 // Write hands one line to the writer.
 func (l *Log) Write(b []byte) (int, error) {
 	if !l.lines.Offer(append([]byte(nil), b...)) {
--- a/protocol/dispatch/budget.go
+++ b/protocol/dispatch/budget.go
@@ -25,6 +25,13 @@
 	return &budget{ratio: ratio, burst: burst, levels: map[string]float64{}, known: map[string]bool{}, parts: 1}
 }
 
+// set changes the limits.
+func (b *budget) set(ratio, burst float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ratio, b.burst = ratio, burst
+}
+
 func (b *budget) limit() float64 {
 	return caution * b.burst / float64(max(1, b.parts))
 }
--- a/protocol/dispatch/dispatch.go
+++ b/protocol/dispatch/dispatch.go
@@ -136,6 +136,12 @@
 	return &Dispatcher{Services: v, settings: s, budget: newBudget(s.RetryRatio, s.RetryBurst)}
 }
 
+// SetRetries changes the share of the requests that may be sent once more, and
+// what the fleet may send beyond.
+func (d *Dispatcher) SetRetries(ratio, burst float64) {
+	d.budget.set(ratio, burst)
+}
+
 // job is a request with what was decided about it.
 type job struct {
 	*Request
