orders, dispatch: leave engines alone that cannot load; adapters used lately stay

The owner unloaded adapters that were in use (2,361 of 9,915 unloads: beats between zones are 1.9 s old there); such an unload holds up all orders of the engine until the requests end, and the owner tried the same adapter again each quarter of a second. Ruled out: log volume (148 MB over 119 instances), starts (363). Change: an engine whose owner is unsure or another one is asked for no load for a quarter of a second; an adapter that the engine kept is no victim for a second; in large fleets one that was used within the age of what is told is none either.

--- a/coordination/gossip/gossip.go
+++ b/coordination/gossip/gossip.go
@@ -235,6 +235,13 @@
 	return g.silence(false), g.silence(true)
 }
 
+// Age returns the longest time between two beats of a peer.
+func (g *Gossip) Age() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.between() * time.Duration(g.farEvery())
+}
+
 // Live returns the peers that are not silent. They must not be changed.
 func (g *Gossip) Live(now time.Duration) []*Peer {
 	g.mu.Lock()
--- a/coordination/orders/orders.go
+++ b/coordination/orders/orders.go
@@ -53,6 +53,8 @@
 	Engine func(s route.ServiceName) (*route.Engine, bool)
 	// Loading returns the adapter loads that other owners have under way.
 	Loading func() int
+	// Age returns how old what other instances tell of their requests may be.
+	Age func() time.Duration
 }
 
 // Orders gives orders to the engines that this instance owns.
@@ -116,15 +118,15 @@
 	loading := o.Loading() + o.Own()
 	parallel := o.timing.Load().parallel(n)
 	e.advance(now, loading, parallel)
-	inUse := func(x pool.Adapter) int { return o.Pool.InUse(id, x) }
-	d, x := e.plan(a, v, n.AdapterSlots, inUse, now)
+	u := uses{running: func(x pool.Adapter) int { return o.Pool.InUse(id, x) }, age: o.Age()}
+	d, x := e.plan(a, v, n.AdapterSlots, u, now)
 	switch d {
 	case evict, load:
 		if !e.mayFetch(a, loading, parallel) {
 			return 0, ErrStoreBusy
 		}
 	case full:
-		return 0, eris.Wrap(ErrFull, e.occupation(inUse, now))
+		return 0, eris.Wrap(ErrFull, e.occupation(u, now))
 	case present:
 		p := e.places[a]
 		p.used(now, 1)
@@ -272,6 +274,7 @@
 	if r == Accepted {
 		// A request took the adapter meanwhile; its place stays taken until
 		// the engine reports otherwise.
+		p.grantedUntil = o.Timer.Boot() + inUseTime
 		e.places[a] = p
 		e.synced = false
 		return ErrFull
--- a/coordination/orders/orders_test.go
+++ b/coordination/orders/orders_test.go
@@ -34,6 +34,9 @@
 	calls int
 	fence ownership.Token
 
+	// age is how old what is told of uses may be.
+	age time.Duration
+
 	pool   *pool.Pool
 	orders *orders.Orders
 	owner  *ownership.Ownership
@@ -59,6 +62,7 @@
 		Engines: &orders.Engines{Report: b.report, Order: b.order}, Timer: k, Pool: b.pool, Ownership: b.owner, Log: zap.NewNop(),
 		Engine:  func(route.ServiceName) (*route.Engine, bool) { return &n, true },
 		Loading: func() int { return loading },
+		Age:     func() time.Duration { return b.age },
 	})
 	return b
 }
@@ -195,6 +199,34 @@
 	}
 }
 
+// TestAdapterUsedLatelyIsNotEvicted replays a large fleet, in which the owner
+// hears of the next use of an adapter two seconds late.
+func TestAdapterUsedLatelyIsNotEvicted(t *testing.T) {
+	b := newBench(t, 0)
+	b.age = 2 * time.Second
+	for i := range slots {
+		if _, err := b.load(i); err != nil {
+			t.Fatal(err)
+		}
+		b.pass(500 * time.Millisecond)
+	}
+	b.pass(time.Second)
+	for i := range slots {
+		// Each adapter is asked for, and served from its place.
+		if _, err := b.load(i); err != nil {
+			t.Fatal(err)
+		}
+	}
+	b.pass(time.Second)
+	if _, err := b.load(slots); !errors.Is(err, orders.ErrFull) {
+		t.Errorf("error %v, want ErrFull while every adapter was used a second ago", err)
+	}
+	b.pass(2 * time.Second)
+	if _, err := b.load(slots); err != nil {
+		t.Errorf("load after two seconds without a use: %v", err)
+	}
+}
+
 // TestLargeWeightStoreHandsOutMoreAdapters replays 140 engines, whose weight
 // store hands out 80 adapters at full speed.
 func TestLargeWeightStoreHandsOutMoreAdapters(t *testing.T) {
--- a/coordination/orders/plan.go
+++ b/coordination/orders/plan.go
@@ -35,6 +35,9 @@
 	// which an adapter is not evicted: the request that asked is told of by its
 	// instance within two beats.
 	grantTime = 350 * time.Millisecond
+	// inUseTime is the time for which an adapter is left alone that the engine
+	// did not unload since a request used it.
+	inUseTime = time.Second
 	// maxComing is the number of adapters that an engine loads at once.
 	maxComing = 4
 	// maxRecent is the number of adapters that an engine keeps in memory after
@@ -90,12 +93,26 @@
 	full                   // nothing can be done now
 )
 
-// plan decides what to do for an adapter. InUse returns the requests that use
-// an adapter on the engine.
+// uses is what the instances tell of the requests on an engine.
+type uses struct {
+	// running returns the requests that use an adapter.
+	running func(a pool.Adapter) int
+	// age is how old it may be.
+	age time.Duration
+}
+
+// idle is the time for which an adapter must not have been used before it is
+// evicted: it may be in use again. The time of a grant covers two beats of a
+// small fleet.
+func (u uses) idle() time.Duration {
+	return max(0, u.age-grantTime)
+}
+
+// plan decides what to do for an adapter.
 //
 // Load pattern: more adapters are asked for than fit, and requests for those
 // in place are on their way.
-func (e *engine) plan(a pool.Adapter, v route.Version, slots int, inUse func(pool.Adapter) int, now time.Duration) (verdict, pool.Adapter) {
+func (e *engine) plan(a pool.Adapter, v route.Version, slots int, u uses, now time.Duration) (verdict, pool.Adapter) {
 	coming := 0
 	for _, p := range e.places {
 		if p.readyAt > now {
@@ -106,7 +123,7 @@
 		switch {
 		case p.version >= v:
 			return present, a
-		case inUse(a) > 0 || coming >= maxComing:
+		case u.running(a) > 0 || coming >= maxComing:
 			return full, a
 		default:
 			return load, a
@@ -118,7 +135,7 @@
 	if len(e.places) < slots {
 		return load, a
 	}
-	if x, ok := e.victim(inUse, now); ok {
+	if x, ok := e.victim(u, now); ok {
 		return evict, x
 	}
 	return full, a
@@ -144,15 +161,15 @@
 }
 
 // occupation says what the slots of the engine are taken by, for the log.
-func (e *engine) occupation(inUse func(pool.Adapter) int, now time.Duration) string {
+func (e *engine) occupation(u uses, now time.Duration) string {
 	coming, used, granted, idle := 0, 0, 0, 0
 	for a, p := range e.places {
 		switch {
 		case p.readyAt > now:
 			coming++
-		case inUse(a) > 0:
+		case u.running(a) > 0:
 			used++
-		case now < p.grantedUntil:
+		case now < p.grantedUntil || now-p.lastUse < u.idle():
 			granted++
 		default:
 			idle++
@@ -162,11 +179,15 @@
 }
 
 // victim returns the adapter to evict: idle, and least asked for lately.
-func (e *engine) victim(inUse func(pool.Adapter) int, now time.Duration) (pool.Adapter, bool) {
+//
+// Load pattern: in a large fleet the owner hears of a use after seconds; an
+// adapter that is unloaded while in use holds up the orders of its engine until
+// its requests end.
+func (e *engine) victim(u uses, now time.Duration) (pool.Adapter, bool) {
 	var worst pool.Adapter
 	found := false
 	for a, p := range e.places {
-		if p.readyAt > now || now < p.grantedUntil || inUse(a) > 0 {
+		if p.readyAt > now || now < p.grantedUntil || now-p.lastUse < u.idle() || u.running(a) > 0 {
 			continue
 		}
 		p.decay(now)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -181,7 +181,7 @@
 	})
 	e.orders = orders.New(e.life, e.Timing, orders.Services{
 		Engines: e.Engines, Timer: e.timer, Pool: e.pool, Ownership: e.ownership, Log: log,
-		Engine: e.engine, Loading: e.loading,
+		Engine: e.engine, Loading: e.loading, Age: e.gossip.Age,
 	})
 	e.Dispatcher = dispatch.New(e.Config.Dispatch, dispatch.Services{
 		Timer: e.timer, Pool: e.pool, Log: log, Table: e.table.Load, Versions: e.adapterVersions,
@@ -323,8 +323,11 @@
 		}
 		return 0, err
 	}
-	if r.StoreBusy {
+	switch {
+	case r.StoreBusy:
 		return 0, orders.ErrStoreBusy
+	case r.Full:
+		return 0, orders.ErrFull
 	}
 	return time.Duration(r.ReadyInMs) * time.Millisecond, nil
 }
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -333,6 +333,7 @@
 	mesh.Message
 	ReadyInMs int64 `protobuf:"varint,1,opt,name=ready_in_ms,proto3"`
 	StoreBusy bool  `protobuf:"varint,2,opt,name=store_busy,proto3"`
+	Full      bool  `protobuf:"varint,3,opt,name=full,proto3"`
 }
 
 type rowsQuery struct {
@@ -367,8 +368,11 @@
 	mesh.Handle(e.mesh, loadMethod, func(c context.Context, _ string, q *loadQuery) (*loadReply, error) {
 		a := pool.Adapter{Model: route.ModelName(q.Model), Name: route.AdapterName(q.Adapter)}
 		d, err := e.orders.Load(c, pool.ID(q.Upstream), a, route.Version(q.Version))
-		if errors.Is(err, orders.ErrStoreBusy) {
+		switch {
+		case errors.Is(err, orders.ErrStoreBusy):
 			return &loadReply{StoreBusy: true}, nil
+		case errors.Is(err, orders.ErrFull):
+			return &loadReply{Full: true}, nil
 		}
 		return &loadReply{ReadyInMs: d.Milliseconds()}, err
 	})
--- a/protocol/dispatch/attempt.go
+++ b/protocol/dispatch/attempt.go
@@ -111,7 +111,7 @@
 		}
 		h, ok := d.Pool.Choose(d.ask(j, tried, now), now)
 		if !ok {
-			if len(tried) == 0 && len(j.avoid) == 0 && d.empty(j) {
+			if len(tried) == 0 && len(j.avoid) == 0 && !d.Pool.Serves(j.service.Name, now) {
 				return h, refusal.Later(refusal.NoUpstream, shortRetry, "no upstream of the service is known")
 			}
 			clear(tried)
@@ -132,6 +132,7 @@
 		}
 		d.Log.Info("load refused", zap.String("request", j.ID), zap.String("upstream", string(h.ID)), zap.Error(err))
 		tried[h.ID] = true
+		d.postpone(h.ID, err)
 		if errors.Is(err, orders.ErrStoreBusy) || len(tried) >= maxTried {
 			// No other engine can load it sooner, or none is likely to.
 			clear(tried)
@@ -162,13 +163,20 @@
 	_ = d.Timer.Wait(c, time.Duration((0.5+d.Draw())*float64(t)))
 }
 
-func (d *Dispatcher) empty(j *job) bool {
-	for _, u := range d.Pool.Upstreams(d.Timer.Boot()) {
-		if u.Service == j.service.Name && !u.Draining {
-			return false
-		}
+// unsurePause is the time before an engine is asked for a load again whose
+// owner does not know its state, cannot be reached or is another one: an owner
+// reads the state after a quarter of a second.
+const unsurePause = 250 * time.Millisecond
+
+// postpone leaves an engine alone that cannot load any adapter now. One that is
+// full may have room at any moment.
+//
+// Load pattern: many requests wait for adapters that no engine has, and each
+// asks the owners of the engines again and again.
+func (d *Dispatcher) postpone(id pool.ID, err error) {
+	if !errors.Is(err, orders.ErrStoreBusy) && !errors.Is(err, orders.ErrFull) {
+		d.Pool.Defer(id, d.Timer.Boot()+unsurePause)
 	}
-	return true
 }
 
 // tooLate refuses a request whose answer would begin after its time.
--- a/state/pool/choose.go
+++ b/state/pool/choose.go
@@ -92,7 +92,7 @@
 		if chosen != nil && (x > cost || x == cost && id > chosen.ID) {
 			continue
 		}
-		if c.Load && a.Orderable != nil && !a.Orderable(id) {
+		if c.Load && (now < e.loadsFrom || a.Orderable != nil && !a.Orderable(id)) {
 			continue
 		}
 		best, chosen, cost = c, e, x
--- a/state/pool/pool.go
+++ b/state/pool/pool.go
@@ -101,6 +101,8 @@
 	total   Use
 	running map[Tag]int
 	health  health
+	// loadsFrom is the instant from which the engine may be asked for a load.
+	loadsFrom time.Duration
 	// pace is the measured time to the first event over the predicted one.
 	pace float64
 }
@@ -368,6 +370,27 @@
 	return maps.Clone(e.held), maps.Clone(e.recent)
 }
 
+// Defer notes that an engine cannot load an adapter before an instant.
+func (p *Pool) Defer(id ID, until time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if e, ok := p.entries[id]; ok {
+		e.loadsFrom = until
+	}
+}
+
+// Serves reports whether an upstream of a service takes requests.
+func (p *Pool) Serves(s route.ServiceName, now time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, e := range p.entries {
+		if e.Service == s && !e.Draining && (e.goneAt == 0 || now < e.goneAt) {
+			return true
+		}
+	}
+	return false
+}
+
 // lateLoad is the time after the estimated end of a load in which it may still
 // go on.
 const lateLoad = 500 * time.Millisecond
--- a/state/pool/pool_test.go
+++ b/state/pool/pool_test.go
@@ -83,6 +83,23 @@
 	}
 }
 
+// TestEngineThatCannotLoadIsLeftAlone replays an engine whose adapters are all
+// in use: it is asked for no load meanwhile, and serves what it holds.
+func TestEngineThatCannotLoadIsLeftAlone(t *testing.T) {
+	p := engines(1)
+	hold(p, "e0", a1)
+	p.Defer("e0", now+time.Second)
+	if _, ok := p.Choose(ask(a2), now); ok {
+		t.Error("the engine was chosen for a load")
+	}
+	if c := choose(t, p, ask(a1)); c.Load {
+		t.Error("the engine does not serve what it holds")
+	}
+	if _, ok := p.Choose(ask(a2), now+time.Second); !ok {
+		t.Error("the engine was not chosen after its pause")
+	}
+}
+
 // TestInstancesChooseTheSameEngineForANewAdapter lets two instances that know
 // the same choose for the same new adapter.
 func TestInstancesChooseTheSameEngineForANewAdapter(t *testing.T) {
