dispatch, entry: pauses by the size of the fleet, one line for many rows

Change: the pause before the next look grows above 30 peers; an adapter has to be idle for half of the age of what is told; 20 rows or more are one line.

--- a/coordination/orders/plan.go
+++ b/coordination/orders/plan.go
@@ -97,7 +97,7 @@
 type uses struct {
 	// running returns the requests that use an adapter.
 	running func(a pool.Adapter) int
-	// age is how old it may be.
+	// age is how old it may be, twice its mean.
 	age time.Duration
 }
 
@@ -105,7 +105,7 @@
 // evicted: it may be in use again. The time of a grant covers two beats of a
 // small fleet.
 func (u uses) idle() time.Duration {
-	return max(0, u.age-grantTime)
+	return max(0, u.age/2-grantTime)
 }
 
 // plan decides what to do for an adapter.
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -108,6 +108,7 @@
 // fleetChanged takes over rows of members and claims.
 func (e *Entry) fleetChanged(rows []mirror.Row) {
 	e.ownership.Changed(rows)
+	log := e.rowLog("fleet", rows)
 	for _, r := range rows {
 		name, ok := strings.CutPrefix(r.Key, memberPrefix)
 		if !ok || name == e.Name {
@@ -128,7 +129,7 @@
 			continue
 		}
 		e.members.set(name, member{front: m.Front, zone: m.Zone, peer: peer, version: r.Version})
-		e.log.Info("member", zap.String("name", name), zap.String("peer", m.Peer), zap.Int64("run", m.Run))
+		log("member", zap.String("name", name), zap.String("peer", m.Peer), zap.Int64("run", m.Run))
 	}
 }
 
@@ -231,7 +232,7 @@
 		return
 	}
 	e.members.set(b.Name, member{front: b.Front, zone: b.Zone, peer: peer})
-	e.log.Info("member heard", zap.String("name", b.Name), zap.String("peer", b.Peer), zap.Int64("run", b.Run))
+	e.log.Debug("member heard", zap.String("name", b.Name), zap.String("peer", b.Peer), zap.Int64("run", b.Run))
 }
 
 // heardPlaces takes over what the owner of an upstream tells of it.
--- a/entry/rows.go
+++ b/entry/rows.go
@@ -92,7 +92,7 @@
 
 // upstreamsChanged takes over the platform's list of upstreams.
 func (e *Entry) upstreamsChanged(rows []mirror.Row) {
-	now := e.timer.Boot()
+	now, log := e.timer.Boot(), e.rowLog("upstreams", rows)
 	for _, r := range rows {
 		id := pool.ID(r.Key)
 		if r.Removed {
@@ -107,13 +107,26 @@
 		}
 		if old, ok := e.pool.Get(id, now); !ok || old.Draining != u.Draining || old.Born != u.Born || old.Address != u.Address || len(old.Models) != len(u.Models) {
 			e.noteNews(r.Version)
-			e.log.Info("upstream", zap.String("id", r.Key), zap.String("service", string(u.Service)), zap.String("address", u.Address),
+			log("upstream", zap.String("id", r.Key), zap.String("service", string(u.Service)), zap.String("address", u.Address),
 				zap.Bool("draining", u.Draining), zap.Int64("born", u.Born), zap.Int64("row-version", int64(r.Version)))
 		}
 		e.pool.Put(u)
 	}
 }
 
+// manyRows is the number of rows from which on they are told of in one line of
+// the log, as when an instance starts, and each at the level debug.
+const manyRows = 20
+
+// rowLog returns the function that logs each of some rows.
+func (e *Entry) rowLog(what string, rows []mirror.Row) func(text string, f ...zap.Field) {
+	if len(rows) < manyRows {
+		return e.log.Info
+	}
+	e.log.Info("rows read", zap.String("of", what), zap.Int("rows", len(rows)))
+	return e.log.Debug
+}
+
 // removeUpstream drops an upstream, at once while the store is reachable, and
 // otherwise after the time in which rows of living upstreams return.
 func (e *Entry) removeUpstream(id pool.ID, now time.Duration) {
--- a/protocol/dispatch/attempt.go
+++ b/protocol/dispatch/attempt.go
@@ -24,9 +24,11 @@
 
 const (
 	// placeRetry is the mean pause before the next look for an upstream,
-	// lateRetry that of requests that are late.
+	// lateRetry that of requests that are late. Both are for fleets of up to
+	// retryPeers peers and grow with more, since all ask the same owners.
 	placeRetry = 30 * time.Millisecond
 	lateRetry  = 100 * time.Millisecond
+	retryPeers = 30
 	// maxTried is the number of engines that are asked for a load before a
 	// pause.
 	maxTried = 3
@@ -159,6 +161,7 @@
 	if d.Timer.Boot()-j.Arrived > j.route.Objective {
 		t = lateRetry
 	}
+	t = max(t, t*time.Duration(d.Peers())/retryPeers)
 	// The end of c is seen by the caller of pause.
 	_ = d.Timer.Wait(c, time.Duration((0.5+d.Draw())*float64(t)))
 }
