dispatch: an answer that was given up is not begun

The caller got the event and then a closed connection, since the send was cancelled beneath it. Ruled out: the change of the configuration at that time (idle limit). Change: the first of the two decides. An answer that was given up is not begun; one that has begun is not given up. A plain answer that is whole is passed on.

--- a/protocol/dispatch/attempt.go
+++ b/protocol/dispatch/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -255,10 +256,13 @@
 		d.Pool.End(id, j.Adapter, pool.Use{Unread: u.Unread})
 		u.Unread = 0
 	}
-	err = d.pass(c, w, j, a, func() {
-		answering()
+	err = d.pass(c, w, j, a, func() bool {
+		if !answering() {
+			return false
+		}
 		read()
 		d.noteFirst(j, sent)
+		return true
 	})
 	d.logSend(j, a, sent, err)
 	if err == nil {
@@ -277,27 +281,34 @@
 
 // guard cancels a send that gives no first part of an answer while another
 // upstream could still give one in time. The function that it returns ends
-// the guard.
+// the guard, and returns false if the send was cancelled before.
 //
 // Load pattern: an upstream takes requests and stays silent.
-func (d *Dispatcher) guard(c context.Context, j *job, cancel context.CancelFunc) func() {
+func (d *Dispatcher) guard(c context.Context, j *job, cancel context.CancelFunc) func() bool {
 	limit := j.route.Objective*silentFactor + 2*j.choice.First
 	if !j.route.Repeatable() || j.first || j.runs+1 >= j.route.MaxAttempts || j.until-d.Timer.Boot() < 2*limit {
-		return func() {}
+		return func() bool { return true }
 	}
 	n, stop := d.Timer.Notify(limit)
 	done := make(chan struct{})
+	// decided is set by the first of the answer and the end of the time.
+	var decided atomic.Bool
 	go func() {
 		defer stop()
 		select {
 		case <-n:
-			d.Log.Info("upstream is silent", zap.String("request", j.ID), zap.String("upstream", string(j.choice.ID)), zap.Duration("limit", limit))
-			cancel()
+			if decided.CompareAndSwap(false, true) {
+				d.Log.Info("upstream is silent", zap.String("request", j.ID), zap.String("upstream", string(j.choice.ID)), zap.Duration("limit", limit))
+				cancel()
+			}
 		case <-done:
 		case <-c.Done():
 		}
 	}()
-	return sync.OnceFunc(func() { close(done) })
+	return sync.OnceValue(func() bool {
+		close(done)
+		return decided.CompareAndSwap(false, true)
+	})
 }
 
 // broken deals with a send that brought no answer.
--- a/protocol/dispatch/dispatch_test.go
+++ b/protocol/dispatch/dispatch_test.go
@@ -36,6 +36,8 @@
 	ends   time.Duration
 	d      *dispatch.Dispatcher
 	timer  *timer.Service
+	// context is that of the last send.
+	context context.Context
 }
 
 func newBench(upstreams int) *bench {
@@ -75,7 +77,8 @@
 	return b
 }
 
-func (b *bench) send(_ context.Context, s dispatch.Send) (*dispatch.Answer, error) {
+func (b *bench) send(c context.Context, s dispatch.Send) (*dispatch.Answer, error) {
+	b.context = c
 	b.sends = append(b.sends, s)
 	return b.answer(len(b.sends), s)
 }
@@ -103,6 +106,21 @@
 	return n, err
 }
 
+// late is a body whose first event comes just as the send is given up.
+type late struct {
+	io.Reader
+	c context.Context
+}
+
+func (l late) Read(p []byte) (int, error) {
+	<-l.c.Done()
+	n, err := l.Reader.Read(p)
+	if err == io.EOF {
+		err = l.c.Err()
+	}
+	return n, err
+}
+
 func whole(status int, text string) *dispatch.Answer {
 	return &dispatch.Answer{Status: status, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(text)), Signed: true, Matches: true}
 }
@@ -127,6 +145,32 @@
 	secondHalf = "id: 3\ndata: c\n\n"
 )
 
+// TestStreamThatIsGivenUpIsNotBegun replays pdl-central mix --seed 918651205257:
+// the first event of an upstream that was silent for long came at the instant at
+// which it was given up, and the caller got that event and then a closed
+// connection.
+func TestStreamThatIsGivenUpIsNotBegun(t *testing.T) {
+	b := newBench(2)
+	b.answer = func(n int, s dispatch.Send) (*dispatch.Answer, error) {
+		if n == 1 {
+			a := stream("", false)
+			a.Body = io.NopCloser(late{strings.NewReader(firstHalf), b.context})
+			return a, nil
+		}
+		if s.ResumeAfter != "" {
+			t.Errorf("resumed after %q, want the whole stream from the other upstream", s.ResumeAfter)
+		}
+		return stream("id: 1\ndata: x\n\n"+secondHalf, false), nil
+	}
+	w, err := b.serve("/chat/x")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := w.Body.String(), "id: 1\ndata: x\n\n"+secondHalf; got != want {
+		t.Errorf("the caller got %q, want %q", got, want)
+	}
+}
+
 func TestCutStreamIsResumedAfterItsLastWholeEvent(t *testing.T) {
 	b := newBench(2)
 	b.answer = func(n int, s dispatch.Send) (*dispatch.Answer, error) {
--- a/protocol/dispatch/pass.go
+++ b/protocol/dispatch/pass.go
@@ -21,8 +21,9 @@
 	readBytes     = 8 << 10
 )
 
-// pass passes an answer on to the caller. First is called at its first part.
-func (d *Dispatcher) pass(c context.Context, w http.ResponseWriter, j *job, a *Answer, first func()) error {
+// pass passes an answer on to the caller. First is called at its first part, and
+// returns false if the answer was given up before.
+func (d *Dispatcher) pass(c context.Context, w http.ResponseWriter, j *job, a *Answer, first func() bool) error {
 	if j.route.Kind == route.Stream && a.Status == http.StatusOK && strings.HasPrefix(a.Header.Get("Content-Type"), "text/event-stream") {
 		return d.passStream(c, w, j, a, first)
 	}
@@ -31,12 +32,13 @@
 
 // passPlain holds an answer until it is whole, so that a cut one is never
 // passed on.
-func (d *Dispatcher) passPlain(c context.Context, w http.ResponseWriter, j *job, a *Answer, first func()) error {
+func (d *Dispatcher) passPlain(c context.Context, w http.ResponseWriter, j *job, a *Answer, first func() bool) error {
 	b, err := io.ReadAll(io.LimitReader(a.Body, maxPlainBytes+1))
 	if err != nil || len(b) > maxPlainBytes {
 		return d.cut(c, j, err)
 	}
-	first()
+	// A whole answer is passed on even if it was just given up.
+	_ = first()
 	begin(w, a)
 	w.Header().Set("Content-Length", strconv.Itoa(len(b)))
 	j.first = true
@@ -66,7 +68,7 @@
 }
 
 // passStream passes whole events on as they arrive.
-func (d *Dispatcher) passStream(c context.Context, w http.ResponseWriter, j *job, a *Answer, first func()) error {
+func (d *Dispatcher) passStream(c context.Context, w http.ResponseWriter, j *job, a *Answer, first func() bool) error {
 	var pending []byte
 	buf := make([]byte, readBytes)
 	flush := http.NewResponseController(w)
@@ -77,7 +79,9 @@
 		if whole := wholeEvents(pending); whole > 0 {
 			if !seen {
 				seen = true
-				first()
+				if !first() {
+					return d.cut(c, j, err)
+				}
 			}
 			if x := d.passEvents(w, flush, j, a, pending[:whole]); x != nil {
 				return x
