ownership: no deadlock of the claims with the pool

The choice of an upstream asks for its owner with the pool locked, and the look for claims on upstreams that are gone asked the pool with the claims locked. Change: the pool is asked first.

--- a/coordination/ownership/claim.go
+++ b/coordination/ownership/claim.go
@@ -317,13 +317,19 @@
 
 // drop removes the claims of this instance on upstreams that are gone.
 func (o *Ownership) drop(c context.Context, now time.Duration) {
+	// The pool asks for owners while it is locked, so it is not asked with the
+	// claims locked.
+	known := map[pool.ID]bool{}
+	for _, u := range o.Pool.Upstreams(now) {
+		known[u.ID] = true
+	}
 	o.mu.Lock()
 	var gone []candidate
 	for id, k := range o.claims {
 		if !o.mine(k) {
 			continue
 		}
-		if _, ok := o.Pool.Get(id, now); ok {
+		if known[id] {
 			delete(o.unclaimed, id)
 			continue
 		}
--- a/coordination/ownership/ownership_test.go
+++ b/coordination/ownership/ownership_test.go
@@ -13,6 +13,7 @@
 	"gentiangauge.example/gentiangauge/coordination/ownership"
 	"gentiangauge.example/gentiangauge/standin/memory"
 	"gentiangauge.example/gentiangauge/state/pool"
+	"gentiangauge.example/gentiangauge/state/route"
 	"gentiangauge.example/gentiangauge/timer"
 	"gentiangauge.example/gentiangauge/transport/store"
 )
@@ -204,6 +205,43 @@
 	}
 }
 
+// TestChoiceAndClaimsDoNotLockEachOtherOut replays soak seed 749: requests are
+// placed, which asks for the owner of an upstream with the pool locked, while
+// the claims are looked after.
+func TestChoiceAndClaimsDoNotLockEachOtherOut(t *testing.T) {
+	const rounds = 20_000
+	w := newWorld(1)
+	w.settle(3 * time.Second)
+	n := w.all[0]
+	n.pool.Put(pool.Upstream{ID: "u0", Service: "models", Models: map[route.ModelName]route.Version{"m": 1}})
+	ask := pool.Ask{
+		Service: "models", Adapter: pool.Adapter{Model: "m", Name: "a"}, Engine: &pool.Capacity{AdapterSlots: 1, CacheTokens: 1, TokensPerSecond: 1},
+		Orderable: func(id pool.ID) bool { _, ok := n.ownership.Owner(id); return ok },
+	}
+	done := make(chan struct{}, 2)
+	go func() {
+		for range rounds {
+			n.pool.Choose(ask, w.now)
+		}
+		done <- struct{}{}
+	}()
+	go func() {
+		for range rounds {
+			n.step()
+		}
+		done <- struct{}{}
+	}()
+	// Only a deadlock takes so long.
+	const long = 30 * time.Second
+	for range 2 {
+		select {
+		case <-done:
+		case <-time.After(long):
+			t.Fatal("the pool and the claims lock each other out")
+		}
+	}
+}
+
 func owners(w *world) map[pool.ID]string {
 	out := map[pool.ID]string{}
 	for _, n := range w.all {
