tree: one piece for what stood twice, and unused fields gone

A refusal for the rate, the line of a setting, the test whether an upstream is in use and the time after which a load is late are each written once. The list of upstreams is read once a step of the claims, the live peers once for all tables. Gone: fields that were decoded and not used, the struct of a model's name, a getter of the mirror that only tests called (they look in Since).

--- a/coordination/orders/duty.go
+++ b/coordination/orders/duty.go
@@ -62,7 +62,7 @@
 		return
 	}
 	e.modelAt = now
-	m := pool.Adapter{Model: n.Models[0].Name}
+	m := pool.Adapter{Model: n.Models[0]}
 	if _, err := o.send(c, e, Order{Adapter: m}); err != nil {
 		o.Log.Warn("base model is not ordered", zap.String("upstream", string(e.upstream.ID)), zap.Error(err))
 	}
--- a/coordination/orders/engine.go
+++ b/coordination/orders/engine.go
@@ -37,8 +37,6 @@
 type Report struct {
 	// Sequence counts the accepted orders since the engine's start.
 	Sequence int64
-	Busy     bool
-	Models   map[route.ModelName]route.Version
 	Adapters map[pool.Adapter]route.Version
 	// Coming are the adapters that are being loaded.
 	Coming map[pool.Adapter]route.Version
--- a/coordination/orders/orders.go
+++ b/coordination/orders/orders.go
@@ -35,9 +35,6 @@
 	tick        = 300 * time.Millisecond
 	// loadStep is the time between two looks at the loads under way.
 	loadStep = 50 * time.Millisecond
-	// lateLoad is the time after the estimated end of a load in which it may
-	// still go on.
-	lateLoad = 500 * time.Millisecond
 	// modelRetry is the pause before a base model is ordered again.
 	modelRetry = 6 * time.Second
 )
@@ -353,7 +350,7 @@
 	o.worker(id).Tell(func(e *engine) {
 		now := o.Timer.Boot()
 		p, ok := e.places[a]
-		if ok && now-p.readyAt < lateLoad && p.readyAt > p.orderedAt {
+		if ok && now-p.readyAt < pool.LateLoad && p.readyAt > p.orderedAt {
 			p.left = max(p.left, loadStep)
 			p.readyAt = now + p.left
 			o.publish(e, id)
--- a/coordination/ownership/claim.go
+++ b/coordination/ownership/claim.go
@@ -34,12 +34,13 @@
 	if lease != 0 && now-renewed >= renewal {
 		o.renew(c)
 	}
-	for _, t := range o.candidates(now) {
+	ups := o.Pool.Upstreams(now)
+	for _, t := range o.candidates(ups, now) {
 		if !o.take(c, t) {
 			break
 		}
 	}
-	o.drop(c, now)
+	o.drop(c, ups, now)
 }
 
 // renew writes the lease row, or a new one when there is none.
@@ -105,7 +106,7 @@
 
 // candidates returns the upstreams without a living owner that this instance
 // is the next for.
-func (o *Ownership) candidates(now time.Duration) []candidate {
+func (o *Ownership) candidates(ups []pool.Upstream, now time.Duration) []candidate {
 	if now-o.began < settle {
 		return nil
 	}
@@ -115,7 +116,6 @@
 			names = append(names, p.Name)
 		}
 	}
-	ups := o.Pool.Upstreams(now)
 	names = mayOwn(names, len(ups))
 	if !slices.Contains(names, o.name) {
 		return nil
@@ -315,12 +315,12 @@
 	return o.valid(now) && o.epoch != 0 && o.epoch <= o.lease
 }
 
-// drop removes the claims of this instance on upstreams that are gone.
-func (o *Ownership) drop(c context.Context, now time.Duration) {
-	// The pool asks for owners while it is locked, so it is not asked with the
-	// claims locked.
+// drop removes the claims of this instance on upstreams that are not among
+// those in use. The pool asks for owners while it is locked, so it cannot be
+// asked with the claims locked.
+func (o *Ownership) drop(c context.Context, ups []pool.Upstream, now time.Duration) {
 	known := map[pool.ID]bool{}
-	for _, u := range o.Pool.Upstreams(now) {
+	for _, u := range ups {
 		known[u.ID] = true
 	}
 	o.mu.Lock()
--- a/coordination/placement/open.go
+++ b/coordination/placement/open.go
@@ -70,7 +70,7 @@
 		u.slots.HoldEvictions(now.Add(p.config.Call))
 	}
 	if p.config.Pool.Fencing == "ignored" && p.Fleet.Members().Epoch > 1 {
-		u.ordersAfter = now.Add(p.config.OrderWait)
+		u.ordersAfter = now.Add(p.config.Lease)
 	}
 	return u, nil
 }
--- a/coordination/placement/permits.go
+++ b/coordination/placement/permits.go
@@ -99,7 +99,7 @@
 // after the one before, or with an epoch of the roster.
 func (p *Placement) latest(r *permitReportReply) bool {
 	ended := time.Duration(r.EndedAgoMs) * time.Millisecond
-	span := p.config.OrderWait
+	span := p.config.Lease
 	if lease.Epoch(r.Epoch) == p.Fleet.Members().Epoch {
 		span *= 2
 	}
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -40,9 +40,9 @@
 	Call time.Duration
 	// Load is the longest time of one load.
 	Load time.Duration
-	// OrderWait is how long a new owner waits before it orders an engine
-	// that ignores fencing numbers.
-	OrderWait time.Duration
+	// Lease is the duration of a lease, for which a new owner waits before it
+	// orders an engine that ignores fencing numbers.
+	Lease time.Duration
 }
 
 // Services are the parts that the placement part works with.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -236,14 +236,14 @@
 	return e.leaving.Load()
 }
 
-// Limits returns what callers may send, and false before the first
-// configuration.
-func (e *Entry) Limits() (route.Limits, bool) {
+// BodyBytes returns the largest body that a caller may send, or 0 while no
+// configuration states one.
+func (e *Entry) BodyBytes() int64 {
 	t := e.table.Load()
 	if t == nil {
-		return route.Limits{}, false
+		return 0
 	}
-	return t.Limits, true
+	return t.BodyBytes
 }
 
 // Leave stops all orders of this instance and tells the others that it takes
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -263,8 +263,9 @@
 			e.expel(c, p.Name, m)
 		}
 	}
+	live := e.gossip.Live(now)
 	for t, f := range e.feeds {
-		e.catchUp(c, t, f)
+		e.catchUp(c, t, f, live)
 	}
 }
 
@@ -286,11 +287,11 @@
 // rows are asked for, beside the time between two looks at it.
 const behindTime = 400 * time.Millisecond
 
-// catchUp asks another instance for rows that the store has not told yet.
-func (e *Entry) catchUp(c context.Context, table string, f *feed.Feed) {
+// catchUp asks a live peer for rows that the store has not told yet.
+func (e *Entry) catchUp(c context.Context, table string, f *feed.Feed, live []*gossip.Peer) {
 	mine, now, t := f.Mirror.Newest(), e.timer.Boot(), pool.NewTag(table)
 	var best *gossip.Peer
-	for _, p := range e.gossip.Live(now) {
+	for _, p := range live {
 		if v := p.Versions[t]; v > mine && (best == nil || v > best.Versions[t]) {
 			best = p
 		}
--- a/entry/quota.go
+++ b/entry/quota.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"net/http"
 	"sync"
 	"time"
 
@@ -59,10 +58,8 @@
 		return nil
 	}
 	s := a.State(now)
-	r := refusal.Later(refusal.OverRate, wait, "the workspace is over its rate: %.0f of %.0f units left at %.0f a second, others take %.0f, %d of them silent",
+	return refusal.Limited(wait, "the workspace is over its rate: %.0f of %.0f units left at %.0f a second, others take %.0f, %d of them silent",
 		s.Left, s.Burst, s.Rate, s.Heard, s.Silent)
-	r.Status = http.StatusTooManyRequests
-	return r
 }
 
 func (q *quota) giveBack(w *route.Workspace, units float64, now time.Duration) {
--- a/finding/document.go
+++ b/finding/document.go
@@ -137,6 +137,17 @@
 	return Entry{}, false
 }
 
+// LineOf returns the line of a key, that of its section without the key, or the
+// first line without the section.
+func (d *Document) LineOf(section, key string) int {
+	for _, s := range d.Sections {
+		if s.Name == section {
+			return s.LineOf(key)
+		}
+	}
+	return 1
+}
+
 // LineOf returns the line of the key, or the line of the section without it.
 func (s Section) LineOf(key string) int {
 	if e, ok := s.Find(key); ok {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -113,7 +113,7 @@
 	}, quota.Services{Timer: i.Timer, Fleet: i.Fleet, Mesh: i.Mesh, Catalog: i.Catalog, Recorder: i.Recorder, Log: i.log})
 	i.Placement = placement.New(i.life, placement.Config{
 		Pool: s.EnginePool(), Loads: s.Loads, Policy: s.Placement.Policy, Spread: s.Placement.SpreadRequests,
-		Queue: s.Caller.Queue.Duration(), Call: call, Load: s.Loads.Load.Duration(), OrderWait: s.Lease.Duration.Duration(),
+		Queue: s.Caller.Queue.Duration(), Call: call, Load: s.Loads.Load.Duration(), Lease: s.Lease.Duration.Duration(),
 	}, placement.Services{Timer: i.Timer, Fleet: i.Fleet, Mesh: i.Mesh, Engines: engine.New(), Recorder: i.Recorder, Log: i.log})
 	i.Fleet.Gossip = i.Placement.Gossip
 	i.Fleet.Heard = i.Placement.Heard
--- a/protocol/caller/generate.go
+++ b/protocol/caller/generate.go
@@ -150,9 +150,7 @@
 		return s.ended(c, refusal.Later(refusal.OwnerUnavailable, shortRetry, "the owner of the workspace's quota does not answer"))
 	}
 	if !o.Granted {
-		r := refusal.Later(refusal.OverRate, o.Wait, "the workspace is over its rate")
-		r.Status = http.StatusTooManyRequests
-		return r
+		return refusal.Limited(o.Wait, "the workspace is over its rate")
 	}
 	g.reserved, g.at = id, o.At
 	s.record(timeline.Admitted, g.call, fmt.Sprintf("%d tokens", g.model.tokens()))
--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -84,6 +84,14 @@
 	return r
 }
 
+// Limited returns a refusal of a request beyond the rate of its workspace, which
+// the caller may repeat after d.
+func Limited(d time.Duration, format string, args ...any) *Refusal {
+	r := Later(OverRate, d, format, args...)
+	r.Status = http.StatusTooManyRequests
+	return r
+}
+
 // WithRun returns a copy that states whether the request was run.
 func (r *Refusal) WithRun(s Run) *Refusal {
 	c := *r
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -252,7 +252,7 @@
 
 func (p *parser) mapSection(name string, target any) {
 	if err := p.file.Section(name).MapTo(target); err != nil {
-		p.findings.Add(p.document.File, p.line(name, ""), finding.CodeBadValue, "section %q: %v", name, err)
+		p.findings.Add(p.document.File, p.document.LineOf(name, ""), finding.CodeBadValue, "section %q: %v", name, err)
 	}
 }
 
@@ -281,17 +281,8 @@
 	return strings.Trim(v, "0123456789") == ""
 }
 
-func (p *parser) line(section, key string) int {
-	for _, s := range p.document.Sections {
-		if s.Name == section {
-			return s.LineOf(key)
-		}
-	}
-	return 1
-}
-
 func (p *parser) bad(section, key, format string, args ...any) {
-	p.findings.Add(p.document.File, p.line(section, key), finding.CodeBadValue, format, args...)
+	p.findings.Add(p.document.File, p.document.LineOf(section, key), finding.CodeBadValue, format, args...)
 }
 
 func (p *parser) check() {
@@ -349,7 +340,7 @@
 
 func (p *parser) required(section, key, value string) {
 	if value == "" {
-		p.findings.Add(p.document.File, p.line(section, key), finding.CodeMissingKey, "%s in section %q must be set", key, section)
+		p.findings.Add(p.document.File, p.document.LineOf(section, key), finding.CodeMissingKey, "%s in section %q must be set", key, section)
 	}
 }
 
--- a/state/mirror/mirror.go
+++ b/state/mirror/mirror.go
@@ -90,14 +90,6 @@
 	return m.newest
 }
 
-// Row returns a row that is not removed.
-func (m *Mirror) Row(key string) (Row, bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	r, ok := m.rows[key]
-	return r, ok && !r.Removed
-}
-
 // Since returns the rows that changed after a version, removed ones too.
 func (m *Mirror) Since(v Version) []Row {
 	m.mu.Lock()
--- a/state/mirror/mirror_test.go
+++ b/state/mirror/mirror_test.go
@@ -12,13 +12,23 @@
 	return mirror.Row{Key: key, Value: []byte(value), Version: v}
 }
 
+// find returns a row of a mirror that is not removed.
+func find(m *mirror.Mirror, key string) (mirror.Row, bool) {
+	for _, r := range m.Since(0) {
+		if r.Key == key {
+			return r, !r.Removed
+		}
+	}
+	return mirror.Row{}, false
+}
+
 func TestOlderRowNeverReplacesNewer(t *testing.T) {
 	m := mirror.New()
 	m.Apply([]mirror.Row{row("a", "new", 9)}, 9)
 	if c := m.Apply([]mirror.Row{row("a", "old", 4), {Key: "a", Version: 9, Removed: true}}, 4); len(c) != 0 {
 		t.Errorf("changed %v, want nothing", c)
 	}
-	if r, ok := m.Row("a"); !ok || string(r.Value) != "new" {
+	if r, ok := find(m, "a"); !ok || string(r.Value) != "new" {
 		t.Errorf("row %v %v, want new", r, ok)
 	}
 }
@@ -28,7 +38,7 @@
 	m.Apply([]mirror.Row{row("gone", "x", 2), row("young", "x", 8)}, 8)
 	m.Replace([]mirror.Row{row("kept", "x", 3)}, 5)
 	for key, want := range map[string]bool{"gone": false, "young": true, "kept": true} {
-		if _, ok := m.Row(key); ok != want {
+		if _, ok := find(m, key); ok != want {
 			t.Errorf("row %s there: %v, want %v", key, ok, want)
 		}
 	}
@@ -61,8 +71,8 @@
 			newest[r.Key] = r
 		}
 		for k, want := range newest {
-			a, okA := x.Row(k)
-			b, okB := y.Row(k)
+			a, okA := find(x, k)
+			b, okB := find(y, k)
 			if okA == want.Removed || okB == want.Removed || okA && (a.Version != want.Version || b.Version != want.Version) {
 				t.Fatalf("row %s: %v %v and %v %v, want %v", k, a, okA, b, okB, want)
 			}
--- a/state/pool/choose.go
+++ b/state/pool/choose.go
@@ -105,7 +105,7 @@
 }
 
 func (e *entry) usable(a Ask, now time.Duration) bool {
-	if e.Draining || e.goneAt != 0 && now >= e.goneAt || now < e.health.downUntil {
+	if e.Draining || !e.there(now) || now < e.health.downUntil {
 		return false
 	}
 	if a.Engine == nil {
--- a/state/pool/pool.go
+++ b/state/pool/pool.go
@@ -100,6 +100,11 @@
 	return &Pool{entries: map[ID]*entry{}, tags: map[Tag]*entry{}, peers: map[string][]Work{}}
 }
 
+// there reports whether an upstream is in use.
+func (e *entry) there(now time.Duration) bool {
+	return e.goneAt == 0 || now < e.goneAt
+}
+
 // Put adds or updates an upstream. A new start of its process clears what was
 // known of it.
 func (p *Pool) Put(u Upstream) {
@@ -137,9 +142,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for id, e := range p.entries {
-		if e.goneAt != 0 && now >= e.goneAt && len(e.own) == 0 {
+		if !e.there(now) && len(e.own) == 0 {
 			delete(p.entries, id)
-			delete(p.tags, id.Tag())
+			delete(p.tags, e.tag)
 		}
 	}
 }
@@ -149,7 +154,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e, ok := p.entries[id]
-	if !ok || e.goneAt != 0 && now >= e.goneAt {
+	if !ok || !e.there(now) {
 		return Upstream{}, false
 	}
 	return e.Upstream, true
@@ -161,7 +166,7 @@
 	defer p.mu.Unlock()
 	out := make([]Upstream, 0, len(p.entries))
 	for _, e := range p.entries {
-		if e.goneAt == 0 || now < e.goneAt {
+		if e.there(now) {
 			out = append(out, e.Upstream)
 		}
 	}
@@ -264,16 +269,16 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, e := range p.entries {
-		if e.Service == s && !e.Draining && (e.goneAt == 0 || now < e.goneAt) {
+		if e.Service == s && !e.Draining && e.there(now) {
 			return true
 		}
 	}
 	return false
 }
 
-// lateLoad is the time after the estimated end of a load in which it may still
+// LateLoad is the time after the estimated end of a load in which it may still
 // go on.
-const lateLoad = 500 * time.Millisecond
+const LateLoad = 500 * time.Millisecond
 
 // Postpone notes that a load takes longer than estimated. It returns false if
 // no load has ended lately.
@@ -285,7 +290,7 @@
 		return false
 	}
 	h, ok := e.held[a.Tag()]
-	if !ok || h.ReadyAt == 0 || now-h.ReadyAt > lateLoad {
+	if !ok || h.ReadyAt == 0 || now-h.ReadyAt > LateLoad {
 		return false
 	}
 	h.ReadyAt = max(h.ReadyAt, now+d)
--- a/state/route/route.go
+++ b/state/route/route.go
@@ -88,18 +88,13 @@
 
 // Engine describes the model engines of a service.
 type Engine struct {
-	Slots        int
 	CacheTokens  int
 	AdapterSlots int
 	// LoadsPerSecond is the number of base models a second that the weight store
 	// hands out.
 	LoadsPerSecond float64
-	Models         []Model
-}
-
-// Model is a base model that engines may hold.
-type Model struct {
-	Name ModelName
+	// Models are the base models that engines may hold.
+	Models []ModelName
 }
 
 // Service is a group of equal upstreams.
@@ -137,21 +132,14 @@
 	}
 }
 
-// Limits bound what a caller may send.
-type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
-}
-
 // Config is a configuration as it was decoded.
 type Config struct {
 	Version    Version
 	Routes     []Route
 	Services   []Service
 	Workspaces []Workspace
-	Limits     Limits
+	// BodyBytes is the largest body that a caller may send, or 0.
+	BodyBytes int64
 }
 
 // Table answers look-ups in one configuration. It is not changed after New.
