dispatch: reload all settings, not the retries alone

docs/settings.md says that changes of [engines] take effect at once; the assumed speed of engines did not. The settings are replaced whole, but for the availability zone. Test: a stream that no longer fits the time until a stop.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -219,11 +219,13 @@
 }
 
 // Reload takes over the part of the configuration that may change while the
-// instance runs: the limits of retries, loads and versions.
+// instance runs: the speeds of engines and the limits of retries, loads and
+// versions. The availability zone stays.
 func (e *Entry) Reload(k Config) {
 	e.versionGrace.Store(int64(k.VersionGrace))
 	e.orders.SetTiming(k.Timing)
-	e.Dispatcher.SetRetries(k.Dispatch.RetryRatio, k.Dispatch.RetryBurst)
+	k.Dispatch.Zone = e.Zone
+	e.Dispatcher.Reload(k.Dispatch)
 }
 
 // Ready reports whether the instance can serve callers.
--- a/protocol/dispatch/attempt.go
+++ b/protocol/dispatch/attempt.go
@@ -209,7 +209,7 @@
 func (d *Dispatcher) ask(j *job, tried map[pool.ID]bool, now time.Duration) pool.Ask {
 	a := pool.Ask{
 		Service: j.service.Name, Adapter: j.Adapter, Prompt: j.PromptTokens, Output: j.OutputTokens,
-		Zone: d.settings.Zone, Avoid: map[pool.ID]bool{}, Orderable: d.Orderable,
+		Zone: d.settings.Load().Zone, Avoid: map[pool.ID]bool{}, Orderable: d.Orderable,
 	}
 	for id := range tried {
 		a.Avoid[id] = true
@@ -218,7 +218,7 @@
 		a.Avoid[id] = true
 	}
 	if e := j.service.Engine; e != nil {
-		k := d.settings.Capacity
+		k := d.settings.Load().Capacity
 		k.CacheTokens, k.AdapterSlots = e.CacheTokens, e.AdapterSlots
 		a.Engine = &k
 		a.Version, a.Oldest = d.Versions(j.Adapter, now)
--- a/protocol/dispatch/budget.go
+++ b/protocol/dispatch/budget.go
@@ -21,8 +21,8 @@
 // windows of the promise slide.
 const caution = 0.85
 
-func newBudget(ratio, burst float64) *budget {
-	return &budget{ratio: ratio, burst: burst, levels: map[string]float64{}, known: map[string]bool{}, parts: 1}
+func newBudget() *budget {
+	return &budget{levels: map[string]float64{}, known: map[string]bool{}, parts: 1}
 }
 
 // set changes the limits.
--- a/protocol/dispatch/dispatch.go
+++ b/protocol/dispatch/dispatch.go
@@ -11,6 +11,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -126,20 +127,22 @@
 // Dispatcher serves requests.
 type Dispatcher struct {
 	Services
-	settings Settings
+	settings atomic.Pointer[Settings]
 	budget   *budget
 }
 
 // New returns a dispatcher.
 func New(s Settings, v Services) *Dispatcher {
 	v.Log = v.Log.Named("dispatch")
-	return &Dispatcher{Services: v, settings: s, budget: newBudget(s.RetryRatio, s.RetryBurst)}
+	d := &Dispatcher{Services: v, budget: newBudget()}
+	d.Reload(s)
+	return d
 }
 
-// SetRetries changes the share of the requests that may be sent once more, and
-// what the fleet may send beyond.
-func (d *Dispatcher) SetRetries(ratio, burst float64) {
-	d.budget.set(ratio, burst)
+// Reload changes the settings for the requests that come from now on.
+func (d *Dispatcher) Reload(s Settings) {
+	d.settings.Store(&s)
+	d.budget.set(s.RetryRatio, s.RetryBurst)
 }
 
 // job is a request with what was decided about it.
--- a/protocol/dispatch/dispatch_test.go
+++ b/protocol/dispatch/dispatch_test.go
@@ -145,6 +145,22 @@
 	secondHalf = "id: 3\ndata: c\n\n"
 )
 
+// TestReloadedSpeedOfEnginesDecides changes the speed of engines that is
+// assumed: the same stream no longer fits the time until a stop.
+func TestReloadedSpeedOfEnginesDecides(t *testing.T) {
+	b := newBench(1)
+	b.answer = func(int, dispatch.Send) (*dispatch.Answer, error) { return stream(secondHalf, false), nil }
+	b.ends = b.timer.Boot() + time.Hour
+	if _, err := b.serve("/chat/x"); err != nil {
+		t.Fatalf("a stream that ends long before the stop: %v", err)
+	}
+	b.d.Reload(dispatch.Settings{Capacity: pool.Capacity{TokensPerSecond: 25_800, Step: time.Hour}})
+	_, err := b.serve("/chat/x")
+	if r := refusal.As(err); err == nil || r.Code != refusal.Leaving {
+		t.Errorf("error %v, want instance-leaving for a stream that takes hours", err)
+	}
+}
+
 // TestStreamThatIsGivenUpIsNotBegun replays pdl-central mix --seed 918651205257:
 // the first event of an upstream that was silent for long came at the instant at
 // which it was given up, and the caller got that event and then a closed
