rate: spread the burst over the plan's window

Ruled out: inaccurate shares of the fleet (20.0 of 19.9 thousand units a second went through), missing room at the engines. Change: a second token bucket with a quarter of the burst and the rest of it as a higher rate; a request passes if either has its units. Both lie on the line that allows the plan in one window, so no window gets more.

--- a/coordination/gossip/beat.go
+++ b/coordination/gossip/beat.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"gentiangauge.example/gentiangauge/state/allowance"
 	"gentiangauge.example/gentiangauge/state/mirror"
 	"gentiangauge.example/gentiangauge/state/pool"
 	"gentiangauge.example/gentiangauge/state/route"
@@ -52,7 +53,7 @@
 	// Spent and Left are the units of each workspace, by its tag, Spent in whole
 	// ones. Left is only told while an instance has just started.
 	Spent map[pool.Tag]float64
-	Left  map[pool.Tag]float64
+	Left  map[pool.Tag]allowance.Levels
 	// Work is what the instance has on the upstreams.
 	Work []pool.Work
 	// Places are the adapters on the upstreams that it gives orders to.
@@ -91,6 +92,8 @@
 	WorkUnread    []int64         `protobuf:"varint,22,rep,packed,name=work_unread,proto3"`
 	WorkTokens    []int64         `protobuf:"varint,23,rep,packed,name=work_tokens,proto3"`
 	Places        []*placeMessage `protobuf:"bytes,24,rep,name=places,proto3"`
+	// LeftEven is in the order of Workspaces.
+	LeftEven []float64 `protobuf:"fixed64,25,rep,packed,name=left_even,proto3"`
 }
 
 // placeMessage lists the adapters on an upstream. Versions and ReadyInMs are
@@ -118,7 +121,7 @@
 	for w, x := range b.Spent {
 		m.Workspaces, m.Spent = append(m.Workspaces, uint32(w)), append(m.Spent, int64(math.Round(x)))
 		if b.Left != nil {
-			m.Left = append(m.Left, b.Left[w])
+			m.Left, m.LeftEven = append(m.Left, b.Left[w].Burst), append(m.LeftEven, b.Left[w].Even)
 		}
 	}
 	for _, w := range b.Work {
@@ -160,10 +163,10 @@
 	for i := range min(len(m.Workspaces), len(m.Spent)) {
 		b.Spent[pool.Tag(m.Workspaces[i])] = float64(m.Spent[i])
 	}
-	if n := min(len(m.Workspaces), len(m.Left)); n > 0 {
-		b.Left = map[pool.Tag]float64{}
+	if n := min(len(m.Workspaces), len(m.Left), len(m.LeftEven)); n > 0 {
+		b.Left = map[pool.Tag]allowance.Levels{}
 		for i := range n {
-			b.Left[pool.Tag(m.Workspaces[i])] = m.Left[i]
+			b.Left[pool.Tag(m.Workspaces[i])] = allowance.Levels{Burst: m.Left[i], Even: m.LeftEven[i]}
 		}
 	}
 	for i := range min(len(m.WorkUpstreams), len(m.WorkAdapters), len(m.WorkRunning), len(m.WorkUnread), len(m.WorkTokens)) {
--- a/coordination/gossip/beat_test.go
+++ b/coordination/gossip/beat_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"gentiangauge.example/gentiangauge/coordination/gossip"
+	"gentiangauge.example/gentiangauge/state/allowance"
 	"gentiangauge.example/gentiangauge/state/mirror"
 	"gentiangauge.example/gentiangauge/state/pool"
 	"gentiangauge.example/gentiangauge/timer"
@@ -22,11 +23,11 @@
 	b := gossip.Beat{
 		Name: "instance-12", Run: 1_764_800_000_000, Sequence: 1000, Serving: true, Zone: "zone-1", News: 12_345, Uptime: time.Minute, Lease: 123_456,
 		Front: "10.0.0.1:80", Peer: "10.0.0.1:81", Loading: 3,
-		Versions: map[pool.Tag]mirror.Version{1: 5000, 2: 5001, 3: 50_002}, Spent: map[pool.Tag]float64{}, Left: map[pool.Tag]float64{},
+		Versions: map[pool.Tag]mirror.Version{1: 5000, 2: 5001, 3: 50_002}, Spent: map[pool.Tag]float64{}, Left: map[pool.Tag]allowance.Levels{},
 	}
 	for i := range 16 {
 		b.Spent[pool.NewTag(fmt.Sprint("workspace-", i))] = float64(i) * 1234
-		b.Left[pool.NewTag(fmt.Sprint("workspace-", i))] = float64(i)*10 - 20.5
+		b.Left[pool.NewTag(fmt.Sprint("workspace-", i))] = allowance.Levels{Burst: float64(i)*10 - 20.5, Even: float64(i)}
 	}
 	for i := range 8 {
 		b.Work = append(b.Work, pool.Work{
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -94,6 +94,8 @@
 	Dispatch     dispatch.Settings
 	// VersionGrace is the time in which the version before a new one may run.
 	VersionGrace time.Duration
+	// PlanWindow is the time over which the use of a workspace is counted.
+	PlanWindow time.Duration
 }
 
 // Entry is an entry instance.
@@ -147,7 +149,7 @@
 	e := &Entry{
 		Config: k, Adapter: a, timer: t, log: log.Named("entry"), run: time.Duration(t.Now().UnixNano()).Milliseconds(), began: t.Boot(),
 		pool: pool.New(), feeds: map[string]*feed.Feed{}, life: c, conn: conn, behind: map[string]behind{},
-		quota: newQuota(), versions: versions{known: map[pool.Adapter]versionState{}}, members: members{known: map[string]member{}},
+		quota: newQuota(k.PlanWindow), versions: versions{known: map[pool.Adapter]versionState{}}, members: members{known: map[string]member{}},
 	}
 	recorder := timeline.New(k.Name, timelineEvents, t.Now)
 	e.mesh = mesh.New(k.PeerAddress, mesh.Clock{Tick: recorder.Tick, Observe: recorder.Observe})
@@ -219,11 +221,12 @@
 }
 
 // Reload takes over the part of the configuration that may change while the
-// instance runs: the speeds of engines and the limits of retries, loads and
-// versions. The availability zone stays.
+// instance runs: the speeds of engines and the limits of retries, loads,
+// versions and plans. The availability zone stays.
 func (e *Entry) Reload(k Config) {
 	e.versionGrace.Store(int64(k.VersionGrace))
 	e.orders.SetTiming(k.Timing)
+	e.quota.setWindow(k.PlanWindow, e.timer.Boot())
 	k.Dispatch.Zone = e.Zone
 	e.Dispatcher.Reload(k.Dispatch)
 }
--- a/entry/quota.go
+++ b/entry/quota.go
@@ -18,13 +18,34 @@
 // quota holds the workspaces to their plans.
 type quota struct {
 	mu sync.Mutex
+	// window is the time over which the use of a workspace is counted.
+	window time.Duration
 	// plans are by the tag of the workspace.
 	plans   map[pool.Tag]*allowance.Allowance
 	adopted bool
 }
 
-func newQuota() *quota {
-	return &quota{plans: map[pool.Tag]*allowance.Allowance{}}
+func newQuota(window time.Duration) *quota {
+	return &quota{window: window, plans: map[pool.Tag]*allowance.Allowance{}}
+}
+
+func (q *quota) plan(w *route.Workspace) allowance.Plan {
+	return allowance.Plan{Rate: w.Rate, Burst: w.Burst, Window: q.window}
+}
+
+// setWindow changes the window of all plans.
+func (q *quota) setWindow(d, now time.Duration) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.window == d {
+		return
+	}
+	q.window = d
+	for _, a := range q.plans {
+		p := a.State(now).Plan
+		p.Window = d
+		a.SetPlan(p, now)
+	}
 }
 
 func workspaceTag(n route.WorkspaceName) pool.Tag {
@@ -37,10 +58,10 @@
 	defer q.mu.Unlock()
 	for _, w := range t.Workspaces {
 		if a, ok := q.plans[workspaceTag(w.Name)]; ok {
-			a.SetPlan(w.Rate, w.Burst, now)
+			a.SetPlan(q.plan(&w), now)
 			continue
 		}
-		q.plans[workspaceTag(w.Name)] = allowance.New(w.Rate, w.Burst, now)
+		q.plans[workspaceTag(w.Name)] = allowance.New(q.plan(&w), now)
 	}
 }
 
@@ -50,7 +71,7 @@
 	defer q.mu.Unlock()
 	a, ok := q.plans[workspaceTag(w.Name)]
 	if !ok {
-		a = allowance.New(w.Rate, w.Burst, now)
+		a = allowance.New(q.plan(w), now)
 		q.plans[workspaceTag(w.Name)] = a
 	}
 	wait, ok := a.Take(units, now)
@@ -72,13 +93,13 @@
 
 // report returns what was let through and what is left, by workspace. Peers
 // are silent after the time given.
-func (q *quota) report(silence, now time.Duration) (spent, left map[pool.Tag]float64) {
+func (q *quota) report(silence, now time.Duration) (spent map[pool.Tag]float64, left map[pool.Tag]allowance.Levels) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	spent, left = make(map[pool.Tag]float64, len(q.plans)), make(map[pool.Tag]float64, len(q.plans))
+	spent, left = make(map[pool.Tag]float64, len(q.plans)), make(map[pool.Tag]allowance.Levels, len(q.plans))
 	for n, a := range q.plans {
 		a.SetSilence(silence)
-		spent[n], left[n] = a.Spent(), a.Level(now)
+		spent[n], left[n] = a.Spent(), a.Levels(now)
 	}
 	return spent, left
 }
--- a/state/allowance/allowance.go
+++ b/state/allowance/allowance.go
@@ -1,8 +1,9 @@
 // Package allowance holds a workspace to its rate and burst over a fleet
 // whose instances tell each other what they have let through.
 //
-// Load pattern: one workspace sends several times its rate to all instances
-// at once, some of which cannot hear each other.
+// Load patterns: one workspace sends several times its rate to all instances
+// at once, some of which cannot hear each other; a workspace sends steadily
+// more than its rate, but no more than rate and burst allow in any window.
 package allowance
 
 import (
@@ -25,12 +26,28 @@
 	silent bool
 }
 
-// Allowance is a token bucket of which other instances take too. Instants are
-// those of a clock that does not stop. It is not safe for concurrent use.
+// Plan is what a workspace may use over all instances: in any time of the
+// length Window, Rate units a second and Burst more. Without a window it is a
+// token bucket.
+type Plan struct {
+	Rate, Burst float64
+	Window      time.Duration
+}
+
+// Allowance holds two token buckets of which other instances take too. The
+// first has the plan's rate and burst. The second has evenShare of the burst
+// and spreads the rest over the window as a higher rate. A request passes if
+// either bucket has its units left, and is taken from both.
+//
+// No window gets more than the plan allows: the bucket that passed the last
+// request of a window bounds all that was taken since the window's start.
+//
+// Instants are those of a clock that does not stop. It is not safe for
+// concurrent use.
 type Allowance struct {
-	rate    float64
-	burst   float64
-	level   float64
+	plan    Plan
+	burst   bucket
+	even    bucket
 	last    time.Duration
 	spent   float64
 	reports map[Instance]*report
@@ -65,16 +82,35 @@
 // load either.
 const startShare = 0.3
 
+// evenShare is the part of the burst that the second bucket holds: enough for
+// one of the largest requests, so that most of the burst is spread.
+const evenShare = 0.25
+
 // New returns an allowance of an instance that has heard nothing yet.
-func New(rate, burst float64, now time.Duration) *Allowance {
-	return &Allowance{rate: rate, burst: burst, level: startShare * burst, last: now, reports: map[Instance]*report{}, silence: minSilence}
+func New(p Plan, now time.Duration) *Allowance {
+	a := &Allowance{last: now, reports: map[Instance]*report{}, silence: minSilence}
+	a.setPlan(p)
+	a.burst.level = startShare * p.Burst
+	a.even.level = a.even.size - (p.Burst - a.burst.level)
+	return a
 }
 
-// SetPlan changes rate and burst.
-func (a *Allowance) SetPlan(rate, burst float64, now time.Duration) {
+// SetPlan changes the plan.
+func (a *Allowance) SetPlan(p Plan, now time.Duration) {
 	a.refill(now)
-	a.rate, a.burst = rate, burst
-	a.level = min(a.level, burst)
+	a.setPlan(p)
+	a.burst.fill(0, 0)
+	a.even.fill(0, 0)
+}
+
+func (a *Allowance) setPlan(p Plan) {
+	a.plan = p
+	a.burst.rate, a.burst.size = p.Rate, p.Burst
+	a.even.rate, a.even.size = p.Rate, p.Burst
+	if p.Window > 0 {
+		a.even.size = evenShare * p.Burst
+		a.even.rate = p.Rate + (p.Burst-a.even.size)/p.Window.Seconds()
+	}
 }
 
 // SetSilence changes the age of a report from which its sender counts as cut
@@ -93,8 +129,21 @@
 	}
 	a.last = now
 	// What the others are expected to have taken since their reports is taken
-	// off the level when they tell it; the bucket is not full until then.
-	a.level = min(a.burst+a.unheard(now), a.level+d*(a.rate-a.silentRate()))
+	// off the levels when they tell it; the buckets are not full until then.
+	d *= 1 - a.silentShare()
+	a.burst.fill(d, a.unheard(now))
+	a.even.fill(d, a.unheard(now))
+}
+
+// take takes units that were let through here or elsewhere. While the second
+// bucket has units, no debt of the first one is kept: what the second lets
+// through beyond the plan's rate is within the plan.
+func (a *Allowance) take(units float64, now time.Duration) {
+	a.burst.level -= units
+	a.even.level -= units
+	if a.even.level >= a.unheard(now) {
+		a.burst.level = max(0, a.burst.level)
+	}
 }
 
 // sweep counts the reports anew. Instances that ended are forgotten.
@@ -122,10 +171,10 @@
 	a.heardOffset += sign * r.rate * r.at.Seconds()
 }
 
-// silentRate is the rate that instances may use which do not report: a fair
-// part each.
-func (a *Allowance) silentRate() float64 {
-	return a.rate * float64(a.silent) / float64(len(a.reports)+1)
+// silentShare is the part of the rate that instances may use which do not
+// report: a fair part each.
+func (a *Allowance) silentShare() float64 {
+	return float64(a.silent) / float64(len(a.reports)+1)
 }
 
 // Spent returns the units that this instance has let through.
@@ -133,16 +182,23 @@
 	return a.spent
 }
 
-// Level returns the units that are left by all reports.
-func (a *Allowance) Level(now time.Duration) float64 {
+// Levels are the units left in the two buckets.
+type Levels struct {
+	Burst, Even float64
+}
+
+// Levels returns the units that are left by all reports.
+func (a *Allowance) Levels(now time.Duration) Levels {
 	a.refill(now)
-	return a.level
+	return Levels{Burst: a.burst.level, Even: a.even.level}
 }
 
-// Adopt takes over the level that an instance which runs for longer has.
-func (a *Allowance) Adopt(level float64, now time.Duration) {
+// Adopt takes over the levels that an instance which runs for longer has.
+func (a *Allowance) Adopt(l Levels, now time.Duration) {
 	a.refill(now)
-	a.level = min(level, a.burst)
+	a.burst.level, a.even.level = l.Burst, l.Even
+	a.burst.fill(0, 0)
+	a.even.fill(0, 0)
 }
 
 // Heard notes the units that another instance has let through in all.
@@ -160,7 +216,6 @@
 	if took < 0 {
 		return
 	}
-	a.level -= took
 	a.count(r, -1)
 	if d := (now - r.at).Seconds(); d > 0 {
 		w := min(1, d/reportRateSpan.Seconds())
@@ -168,6 +223,7 @@
 	}
 	r.total, r.at, r.silent = total, now, false
 	a.count(r, 1)
+	a.take(took, now)
 }
 
 func (a *Allowance) forgetEarlierRuns(i Instance) {
@@ -187,24 +243,24 @@
 // Take takes units if they are left. Otherwise it returns the time after
 // which they may be.
 func (a *Allowance) Take(units float64, now time.Duration) (time.Duration, bool) {
-	if a.rate <= 0 && a.burst <= 0 {
+	if a.plan.Rate <= 0 && a.plan.Burst <= 0 {
 		return 0, true
 	}
 	a.refill(now)
-	left := a.level - a.unheard(now)
-	if left < units {
-		return time.Duration((units - left) / max(a.rate, 1) * float64(time.Second)), false
+	owed := units + a.unheard(now)
+	if max(a.burst.level, a.even.level) < owed {
+		return min(a.burst.wait(owed), a.even.wait(owed)), false
 	}
-	a.level -= units
+	a.take(units, now)
 	a.spent += units
 	return 0, true
 }
 
 // State is what a decision of an allowance is taken from.
 type State struct {
-	// Left are the units that may be taken now, Rate the units a second and
-	// Burst the most units that may be left.
-	Left, Rate, Burst float64
+	Plan
+	// Left are the units that may be taken now.
+	Left float64
 	// Heard is the rate of the instances that report, Silent the number of
 	// those that do not any more.
 	Heard  float64
@@ -214,12 +270,15 @@
 // State returns the state at an instant.
 func (a *Allowance) State(now time.Duration) State {
 	a.refill(now)
-	return State{Left: a.level - a.unheard(now), Rate: a.rate, Burst: a.burst, Heard: a.heardRate, Silent: a.silent}
+	left := max(a.burst.level, a.even.level) - a.unheard(now)
+	return State{Plan: a.plan, Left: left, Heard: a.heardRate, Silent: a.silent}
 }
 
 // Return gives back the units of a request that did not run.
 func (a *Allowance) Return(units float64, now time.Duration) {
 	a.refill(now)
-	a.level = min(a.burst, a.level+units)
+	a.take(-units, now)
+	a.burst.fill(0, 0)
+	a.even.fill(0, 0)
 	a.spent -= units
 }
--- a/state/allowance/allowance_test.go
+++ b/state/allowance/allowance_test.go
@@ -21,6 +21,8 @@
 	beat = 600 * time.Millisecond
 )
 
+var plan = allowance.Plan{Rate: rate, Burst: burst, Window: window}
+
 // fleet is a number of instances that tell each other what they let through.
 type fleet struct {
 	plans []*allowance.Allowance
@@ -35,7 +37,7 @@
 func newFleet(n int) *fleet {
 	f := &fleet{beat: beat, cut: map[int]bool{}, taken: map[time.Duration]float64{}}
 	for range n {
-		f.plans = append(f.plans, allowance.New(rate, burst, 0))
+		f.plans = append(f.plans, allowance.New(plan, 0))
 	}
 	return f
 }
@@ -155,7 +157,7 @@
 	draw := rand.New(rand.NewPCG(20261204, 4))
 	f.run(0, 10*time.Second, 7.5*rate/1.8, draw)
 	for i := range f.plans {
-		f.plans[i] = allowance.New(rate, burst, 10*time.Second)
+		f.plans[i] = allowance.New(plan, 10*time.Second)
 	}
 	f.run(10*time.Second, 20*time.Second, 7.5*rate/1.8, draw)
 	if got := f.worst(20 * time.Second); got > limit() {
@@ -164,7 +166,7 @@
 }
 
 func TestUnitsOfARequestThatDidNotRunComeBack(t *testing.T) {
-	a := allowance.New(rate, burst, 0)
+	a := allowance.New(plan, 0)
 	if _, ok := a.Take(burst, time.Second); !ok {
 		t.Fatal("a full bucket refused its burst")
 	}
@@ -179,7 +181,7 @@
 }
 
 func ExampleAllowance_Take() {
-	a := allowance.New(1000, 500, 0)
+	a := allowance.New(allowance.Plan{Rate: 1000, Burst: 500}, 0)
 	wait, ok := a.Take(800, time.Second/4)
 	fmt.Println(ok, wait)
 	// Output: false 400ms
