--- a/transport/mesh/serve.go
+++ b/transport/mesh/serve.go
@@ -55,8 +55,9 @@
 	m.track(s, true)
 	defer m.track(s, false)
 	defer s.Close()
+	defer context.AfterFunc(c, func() { _ = s.Close() })()
 	for {
-		stream, err := s.AcceptStreamWithContext(c)
+		stream, err := s.AcceptStream()
 		if err != nil {
 			return
 		}
