--- a/protocol/dispatch/attempt.go
+++ b/protocol/dispatch/attempt.go
@@ -24,18 +24,9 @@
 var errNext = eris.New("another upstream may answer")
 
 const (
-	// placeRetry is the mean pause before the next look for an upstream,
-	// lateRetry that of requests that are late. Both are for fleets of up to
-	// retryPeers peers and grow with more, since all ask the same owners.
-	placeRetry = 30 * time.Millisecond
-	lateRetry  = 100 * time.Millisecond
-	retryPeers = 30
 	// maxTried is the number of engines that are asked for a load before a
 	// pause.
 	maxTried = 3
-	// placeShare is the part of a caller's patience in which an upstream must
-	// be found.
-	placeShare = 0.6
 	// maxSends bounds the sends of a request, with those that were rejected.
 	maxSends = 6
 	// maxMoved is the number of engines that may lack the adapter before the
@@ -144,29 +135,6 @@
 	}
 }
 
-// placeBy is the instant from which a request that has found no upstream is
-// refused, so that the caller has time to come back. A caller that has events
-// waits as long for the next one as for the first.
-func (j *job) placeBy(now time.Duration) time.Duration {
-	t := time.Duration(float64(j.firstBy-j.Arrived) * placeShare)
-	if j.first {
-		return min(j.until, now+t)
-	}
-	return j.Arrived + t
-}
-
-// pause waits before the next look for an upstream. Requests that can still be
-// on time look more often than those that are late.
-func (d *Dispatcher) pause(c context.Context, j *job) {
-	t := placeRetry
-	if d.Timer.Boot()-j.Arrived > j.route.Objective {
-		t = lateRetry
-	}
-	t = max(t, t*time.Duration(d.Peers())/retryPeers)
-	// The end of c is seen by the caller of pause.
-	_ = d.Timer.Wait(c, time.Duration((0.5+d.Draw())*float64(t)))
-}
-
 // unsurePause is the time before an engine is asked for a load again whose
 // owner does not know its state, cannot be reached or is another one: an owner
 // reads the state after a quarter of a second.
--- a/protocol/dispatch/dispatch_test.go
+++ b/protocol/dispatch/dispatch_test.go
@@ -23,6 +23,9 @@
 	"gentiangauge.example/gentiangauge/transport/relay"
 )
 
+// patience is the time for which callers wait.
+const patience = 2 * time.Second
+
 var adapter = pool.Adapter{Model: "m", Name: "a1"}
 
 // bench is a dispatcher beside upstreams that answer as a test says.
@@ -87,7 +90,7 @@
 	w := httptest.NewRecorder()
 	q := &dispatch.Request{
 		ID: "r1", Method: http.MethodPost, Host: "h", Path: path, Target: path, Header: http.Header{}, Key: "key",
-		Arrived: b.timer.Boot(), Patience: 2 * time.Second,
+		Arrived: b.timer.Boot(), Patience: patience,
 	}
 	if strings.HasPrefix(path, "/chat/") || strings.HasPrefix(path, "/once/") {
 		q.Adapter, q.PromptTokens, q.OutputTokens = adapter, 1000, 24
