--- a/state/pool/choose.go
+++ b/state/pool/choose.go
@@ -62,7 +62,7 @@
 	rankStep = 12 * time.Millisecond
 	// zonePenalty keeps requests in their availability zone when the load is
 	// equal.
-	zonePenalty = 30 * time.Millisecond
+	zonePenalty = 60 * time.Millisecond
 	// failurePenalty is the cost of an upstream that fails every request.
 	failurePenalty = 4 * time.Second
 	// fullPenalty is the cost of an engine whose memory or slots are taken.
