--- a/state/pool/choose.go
+++ b/state/pool/choose.go
@@ -71,7 +71,7 @@
 	evictPenalty = 40 * time.Millisecond
 	// fetchPenalty is the price of an adapter from the weight store beside the
 	// time that it takes.
-	fetchPenalty = 150 * time.Millisecond
+	fetchPenalty = 300 * time.Millisecond
 	// plainService is the assumed time of a request of a plain service.
 	plainService = 60 * time.Millisecond
 )
