orders: read a report again whose number is not expected

Orders there stay without an answer and are carried out seconds later. A report read within its lag after such an order has the new number but not yet the adapter; the next load passes the check of the number and overfills the engine. Change: a report with another number than the owner expects is read again after the lag. Measured: the test has the engine crash before, and passes now.

--- a/coordination/orders/orders.go
+++ b/coordination/orders/orders.go
@@ -168,6 +168,12 @@
 	if err != nil {
 		return eris.Wrap(ErrUnsure, err.Error())
 	}
+	if r.Sequence != e.sequence {
+		// An order without an answer was carried out, or one of another owner.
+		// The report may lag behind its own sequence number.
+		e.sequence, e.orderedAt = r.Sequence, now
+		return ErrUnsure
+	}
 	if e.token == 0 {
 		// What the former owner told.
 		_, recent := o.Pool.Held(id)
@@ -175,7 +181,7 @@
 			e.recent[a] = now
 		}
 	}
-	e.token, e.sequence, e.synced = t, r.Sequence, true
+	e.token, e.synced = t, true
 	e.merge(r, now, o.timing.Load().Cold)
 	o.publish(e, id)
 	return nil
--- a/coordination/orders/orders_test.go
+++ b/coordination/orders/orders_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -33,6 +34,11 @@
 	late  []orders.Order
 	calls int
 	fence ownership.Token
+	// lag is how far the adapters of a report are behind its sequence number,
+	// before what was held before the last order.
+	lag       time.Duration
+	before    map[pool.Adapter]route.Version
+	changedAt time.Duration
 
 	// age is how old what is told of uses may be.
 	age time.Duration
@@ -78,7 +84,11 @@
 
 func (b *bench) report(context.Context, pool.Upstream) (orders.Report, error) {
 	r := orders.Report{Sequence: b.sequence, Adapters: map[pool.Adapter]route.Version{}, Coming: map[pool.Adapter]route.Version{}}
-	for a, v := range b.places {
+	places := b.places
+	if b.now-b.changedAt < b.lag {
+		places = b.before
+	}
+	for a, v := range places {
 		if b.ready[a] > b.now {
 			r.Coming[a] = v
 		} else {
@@ -106,6 +116,7 @@
 	}
 	b.fence = o.Token
 	b.sequence++
+	b.before, b.changedAt = maps.Clone(b.places), b.now
 	if o.Unload {
 		delete(b.places, o.Adapter)
 		return orders.Holds
@@ -199,6 +210,34 @@
 	}
 }
 
+// TestReportThatLagsBehindALateOrderIsNotTrusted has a load carried out late,
+// just before the report is read: the report has its number already, but not
+// its adapter.
+func TestReportThatLagsBehindALateOrderIsNotTrusted(t *testing.T) {
+	b := newBench(t, 0)
+	b.lag = 200 * time.Millisecond
+	for n := range slots - 1 {
+		if _, err := b.load(n); err != nil {
+			t.Fatal(err)
+		}
+		b.pass(time.Second)
+	}
+	b.lose = true
+	if _, err := b.load(10); !errors.Is(err, orders.ErrUnsure) {
+		t.Fatalf("%v; want an order without an answer", err)
+	}
+	b.lose = false
+	b.pass(2 * time.Second)
+	b.carryOut(b.late[0])
+	if _, err := b.load(11); !errors.Is(err, orders.ErrUnsure) {
+		t.Errorf("%v; want a second look at the engine", err)
+	}
+	b.pass(time.Second)
+	if _, err := b.load(11); err != nil {
+		t.Errorf("%v; want a load in place of another adapter", err)
+	}
+}
+
 // TestAdapterUsedLatelyIsNotEvicted replays a large fleet, in which the owner
 // hears of the next use of an adapter two seconds late on average.
 func TestAdapterUsedLatelyIsNotEvicted(t *testing.T) {
