--- a/state/allowance/allowance.go
+++ b/state/allowance/allowance.go
@@ -99,8 +99,8 @@
 func (a *Allowance) SetPlan(p Plan, now time.Duration) {
 	a.refill(now)
 	a.setPlan(p)
-	a.burst.fill(0, 0)
-	a.even.fill(0, 0)
+	a.burst.bound()
+	a.even.bound()
 }
 
 func (a *Allowance) setPlan(p Plan) {
@@ -205,8 +205,8 @@
 func (a *Allowance) Adopt(l Levels, now time.Duration) {
 	a.refill(now)
 	a.burst.level, a.even.level = l.Burst, l.Even
-	a.burst.fill(0, 0)
-	a.even.fill(0, 0)
+	a.burst.bound()
+	a.even.bound()
 }
 
 // Heard notes the units that another instance has let through in all.
@@ -286,7 +286,7 @@
 func (a *Allowance) Return(units float64, now time.Duration) {
 	a.refill(now)
 	a.take(-units, now)
-	a.burst.fill(0, 0)
-	a.even.fill(0, 0)
+	a.burst.bound()
+	a.even.bound()
 	a.spent -= units
 }
--- a/state/allowance/bucket.go
+++ b/state/allowance/bucket.go
@@ -15,6 +15,11 @@
 	b.level = min(b.size+expected, b.level+seconds*b.rate)
 }
 
+// bound keeps the level within the size.
+func (b *bucket) bound() {
+	b.level = min(b.size, b.level)
+}
+
 // wait returns the time until units are left.
 func (b *bucket) wait(units float64) time.Duration {
 	return time.Duration((units - b.level) / max(b.rate, 1) * float64(time.Second))
