--- a/entry/entry.go
+++ b/entry/entry.go
@@ -120,6 +120,8 @@
 	members   members
 	// versionGrace is Config.VersionGrace as it was reloaded.
 	versionGrace atomic.Int64
+	// planWindow is Config.PlanWindow as it was reloaded.
+	planWindow atomic.Int64
 	leaving      atomic.Bool
 	// ends is the instant at which the instance stops, or 0.
 	ends atomic.Int64
@@ -156,6 +158,7 @@
 	e.gossip = gossip.New(k.Name, conn, t, log)
 	e.gossip.Compose, e.gossip.Heard, e.gossip.Addresses, e.gossip.Zone = e.compose, e.heard, e.addresses, k.Zone
 	e.versionGrace.Store(int64(k.VersionGrace))
+	e.planWindow.Store(int64(k.PlanWindow))
 	e.newFeeds(log)
 	e.newDuties(r, log)
 	e.handle()
@@ -226,7 +229,7 @@
 func (e *Entry) Reload(k Config) {
 	e.versionGrace.Store(int64(k.VersionGrace))
 	e.orders.SetTiming(k.Timing)
-	e.quota.setWindow(k.PlanWindow, e.timer.Boot())
+	e.planWindow.Store(int64(k.PlanWindow))
 	k.Dispatch.Zone = e.Zone
 	e.Dispatcher.Reload(k.Dispatch)
 }
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -172,6 +172,7 @@
 		b.Front, b.Peer = e.FrontAddress, e.PeerAddress
 	}
 	_, far := e.gossip.Silence()
+	e.setPlanWindow(now)
 	b.Spent, b.Left = e.quota.report(far, now)
 	if !young {
 		b.Left = nil
--- a/entry/quota.go
+++ b/entry/quota.go
@@ -8,6 +8,7 @@
 	"gentiangauge.example/gentiangauge/refusal"
 	"gentiangauge.example/gentiangauge/state/allowance"
 	"gentiangauge.example/gentiangauge/state/pool"
+	"gentiangauge.example/gentiangauge/state/reader"
 	"gentiangauge.example/gentiangauge/state/route"
 )
 
@@ -48,6 +49,18 @@
 	}
 }
 
+// setPlanWindow lets workspaces spread their burst, but for large fleets: what
+// the instances hear of each other there is too old to hold the plan as well.
+//
+// Load pattern: a loud workspace while all instances start anew.
+func (e *Entry) setPlanWindow(now time.Duration) {
+	w := time.Duration(e.planWindow.Load())
+	if reader.Large(int(e.peers.Load())) {
+		w = 0
+	}
+	e.quota.setWindow(w, now)
+}
+
 func workspaceTag(n route.WorkspaceName) pool.Tag {
 	return pool.NewTag(string(n))
 }
