--- a/entry/entry.go
+++ b/entry/entry.go
@@ -122,7 +122,7 @@
 	versionGrace atomic.Int64
 	// planWindow is Config.PlanWindow as it was reloaded.
 	planWindow atomic.Int64
-	leaving      atomic.Bool
+	leaving    atomic.Bool
 	// ends is the instant at which the instance stops, or 0.
 	ends atomic.Int64
 	life context.Context
