tree: drop the mesh's list of sessions, make an allowance in one place

AcceptStream ends with the session, which ends with the context, so the list of inbound sessions had no reader left. The two levels of a plan stand together in the beat.

--- a/coordination/gossip/beat.go
+++ b/coordination/gossip/beat.go
@@ -85,6 +85,7 @@
 	Workspaces []uint32  `protobuf:"fixed32,16,rep,packed,name=workspaces,proto3"`
 	Spent      []int64   `protobuf:"varint,17,rep,packed,name=spent,proto3"`
 	Left       []float64 `protobuf:"fixed64,18,rep,packed,name=left,proto3"`
+	LeftEven   []float64 `protobuf:"fixed64,25,rep,packed,name=left_even,proto3"`
 	// The lists of work are in the order of WorkUpstreams.
 	WorkUpstreams []uint32        `protobuf:"fixed32,19,rep,packed,name=work_upstreams,proto3"`
 	WorkAdapters  []uint32        `protobuf:"fixed32,20,rep,packed,name=work_adapters,proto3"`
@@ -92,8 +93,6 @@
 	WorkUnread    []int64         `protobuf:"varint,22,rep,packed,name=work_unread,proto3"`
 	WorkTokens    []int64         `protobuf:"varint,23,rep,packed,name=work_tokens,proto3"`
 	Places        []*placeMessage `protobuf:"bytes,24,rep,name=places,proto3"`
-	// LeftEven is in the order of Workspaces.
-	LeftEven []float64 `protobuf:"fixed64,25,rep,packed,name=left_even,proto3"`
 }
 
 // placeMessage lists the adapters on an upstream. Versions and ReadyInMs are
--- a/entry/quota.go
+++ b/entry/quota.go
@@ -50,9 +50,7 @@
 }
 
 // setPlanWindow lets workspaces spread their burst, but for large fleets: what
-// the instances hear of each other there is too old to hold the plan as well.
-//
-// Load pattern: a loud workspace while all instances start anew.
+// the instances hear of each other there is older.
 func (e *Entry) setPlanWindow(now time.Duration) {
 	w := time.Duration(e.planWindow.Load())
 	if reader.Large(int(e.peers.Load())) {
@@ -70,23 +68,26 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, w := range t.Workspaces {
-		if a, ok := q.plans[workspaceTag(w.Name)]; ok {
-			a.SetPlan(q.plan(&w), now)
-			continue
-		}
-		q.plans[workspaceTag(w.Name)] = allowance.New(q.plan(&w), now)
+		q.of(&w, now).SetPlan(q.plan(&w), now)
 	}
 }
 
+// of returns the allowance of a workspace, a new one at first.
+func (q *quota) of(w *route.Workspace, now time.Duration) *allowance.Allowance {
+	t := workspaceTag(w.Name)
+	a, ok := q.plans[t]
+	if !ok {
+		a = allowance.New(q.plan(w), now)
+		q.plans[t] = a
+	}
+	return a
+}
+
 // take takes units of a workspace's plan, or refuses the request.
 func (q *quota) take(w *route.Workspace, units float64, now time.Duration) error {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	a, ok := q.plans[workspaceTag(w.Name)]
-	if !ok {
-		a = allowance.New(q.plan(w), now)
-		q.plans[workspaceTag(w.Name)] = a
-	}
+	a := q.of(w, now)
 	wait, ok := a.Take(units, now)
 	if ok {
 		return nil
--- a/transport/mesh/mesh.go
+++ b/transport/mesh/mesh.go
@@ -47,7 +47,6 @@
 	mu       sync.Mutex
 	handlers map[string]Handler
 	peers    map[string]*peer
-	inbound  map[*yamux.Session]bool
 }
 
 const forwardMethod = "mesh/forward"
@@ -70,7 +69,6 @@
 		clock:    clock,
 		handlers: map[string]Handler{},
 		peers:    map[string]*peer{},
-		inbound:  map[*yamux.Session]bool{},
 	}
 	Handle(m, forwardMethod, func(c context.Context, _ string, q *forwardQuery) (*forwardReply, error) {
 		body, err := m.call(c, q.Address, q.Method, q.Body)
--- a/transport/mesh/serve.go
+++ b/transport/mesh/serve.go
@@ -41,9 +41,6 @@
 		_ = p.session.Close()
 		delete(m.peers, a)
 	}
-	for s := range m.inbound {
-		_ = s.Close()
-	}
 }
 
 func (m *Mesh) serveConnection(c context.Context, conn net.Conn) {
@@ -52,8 +49,6 @@
 		_ = conn.Close()
 		return
 	}
-	m.track(s, true)
-	defer m.track(s, false)
 	defer s.Close()
 	defer context.AfterFunc(c, func() { _ = s.Close() })()
 	for {
@@ -65,16 +60,6 @@
 	}
 }
 
-func (m *Mesh) track(s *yamux.Session, open bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if open {
-		m.inbound[s] = true
-		return
-	}
-	delete(m.inbound, s)
-}
-
 // serveStream answers one call after the other until the caller closes the
 // stream. It reads ahead, so that a caller that gives up ends its call.
 func (m *Mesh) serveStream(c context.Context, conn net.Conn) {
