reader: two instances of a zone read the store's tables for the others

Cause: each instance kept feeds of three tables open, so that calls to the store grew with the fleet and each changed row answered hundreds of them; in an outage of the store hundreds repeated theirs each 0.8 s.

Change: the first two living instances of each zone, in rendezvous order, read; while the store fails up to four try. The others take rows from any instance whose beat tells a newer version, of their own zone first. Of the list of upstreams only rows are told that changed in what matters to requests (Marks); a digest finds what two readers saw differently. One mechanism at every size: the thresholds of 40 peers, the gaps by members and the plan window of large fleets are gone.

--- a/coordination/feed/feed.go
+++ b/coordination/feed/feed.go
@@ -19,7 +19,7 @@
 const (
 	minRetry = 100 * time.Millisecond
 	maxRetry = 800 * time.Millisecond
-	// dueLook is the time between two looks at whether a table is due.
+	// dueLook is the time between two looks at whether this instance reads.
 	dueLook = 100 * time.Millisecond
 )
 
@@ -27,14 +27,18 @@
 type Feed struct {
 	Table  string
 	Mirror *mirror.Mirror
-	// Changed is called with the rows that changed, in no order.
-	Changed func(rows []mirror.Row)
-	// Gap returns the least time between two calls, for tables whose rows change
-	// all the time.
-	Gap func() time.Duration
-	// Due reports whether the table is to be read again, after the time given
-	// since the last call. A nil function means that it always is.
-	Due func(idle time.Duration) bool
+	// Changed is called with the rows that changed, in no order. Steady is not
+	// set while rows that are missing may come back, since the store was away.
+	Changed func(rows []mirror.Row, steady bool)
+	// Gap is the least time between two calls, for tables whose rows change
+	// often.
+	Gap time.Duration
+	// Reads reports whether this instance reads the table. Otherwise others
+	// tell it the rows. A nil function means that it does.
+	Reads func() bool
+	// PeersUnsteady reports whether the store was away lately by what others
+	// tell. A nil function means that it was not.
+	PeersUnsteady func() bool
 
 	store *store.Store
 	timer *timer.Service
@@ -43,28 +47,40 @@
 	mu sync.Mutex
 	// failing is set from the first failed call to the next good one.
 	failing bool
-	// restored is the instant of the good call after the last failure.
-	restored time.Duration
-	began    bool
+	// restored is the instant of the good call after the last failure, and
+	// resumed that of the last time that this instance took up reading.
+	restored, resumed time.Duration
+	began             bool
 }
 
+// SettleTime is how long the store has to be reachable before a missing row is
+// believed at once: the two seconds in which rows of living upstreams return, and
+// the delay of a call.
+const SettleTime = 2300 * time.Millisecond
+
 // New returns a feed of a table.
-func New(table string, s *store.Store, t *timer.Service, log *zap.Logger, changed func([]mirror.Row)) *Feed {
-	return &Feed{Table: table, Mirror: mirror.New(), Changed: changed, Gap: func() time.Duration { return 0 }, store: s, timer: t, log: log.Named("feed").With(zap.String("table", table))}
+func New(table string, s *store.Store, t *timer.Service, log *zap.Logger, changed func(rows []mirror.Row, steady bool)) *Feed {
+	return &Feed{Table: table, Mirror: mirror.New(), Changed: changed, store: s, timer: t, log: log.Named("feed").With(zap.String("table", table))}
 }
 
-// Run follows the table until c ends.
+// Run follows the table until c ends. The first rows are read by each instance
+// itself.
 func (f *Feed) Run(c context.Context) {
 	pause := minRetry
 	complete := false
 	for c.Err() == nil {
+		if complete {
+			f.leave(c)
+		}
 		err := f.step(c, complete)
 		switch {
 		case err == nil:
 			complete = true
 			pause = minRetry
 			f.contact(true, nil)
-			f.rest(c)
+			if f.Gap > 0 {
+				_ = f.timer.Wait(c, f.Gap)
+			}
 			continue
 		case c.Err() != nil:
 			return
@@ -79,17 +95,22 @@
 	}
 }
 
-// rest waits until the table is to be read again.
-func (f *Feed) rest(c context.Context) {
-	gap := f.Gap()
-	if gap <= 0 {
+// leave waits while others read the table.
+func (f *Feed) leave(c context.Context) {
+	if f.Reads == nil || f.Reads() {
 		return
 	}
-	last := f.timer.Boot()
-	_ = f.timer.Wait(c, gap)
-	for c.Err() == nil && f.Due != nil && !f.Due(f.timer.Boot()-last) {
+	f.log.Info("others read the table")
+	f.mu.Lock()
+	f.failing = false
+	f.mu.Unlock()
+	for c.Err() == nil && !f.Reads() {
 		_ = f.timer.Wait(c, dueLook)
 	}
+	f.mu.Lock()
+	f.resumed = f.timer.Boot()
+	f.mu.Unlock()
+	f.log.Info("reading the table", zap.Int64("from", int64(f.Mirror.Version())))
 }
 
 func (f *Feed) step(c context.Context, complete bool) error {
@@ -109,14 +130,17 @@
 	return nil
 }
 
-// Learn takes over rows that another instance has read.
-func (f *Feed) Learn(rows []mirror.Row) {
-	f.deliver(f.Mirror.Apply(rows, 0))
+// Learn takes over rows that another instance has read, complete up to a
+// version. Steady is as that instance found it.
+func (f *Feed) Learn(rows []mirror.Row, upTo mirror.Version, steady bool) {
+	if l := f.Mirror.Apply(rows, upTo); len(l) > 0 {
+		f.Changed(l, steady)
+	}
 }
 
 func (f *Feed) deliver(rows []mirror.Row) {
 	if len(rows) > 0 {
-		f.Changed(rows)
+		f.Changed(rows, f.Steady())
 	}
 }
 
@@ -142,10 +166,21 @@
 	return f.failing || !f.began
 }
 
-// Steady reports whether the store has answered without a failure for d, or
-// since the start: what lapsed before was not in the table that was read then.
-func (f *Feed) Steady(now, d time.Duration) bool {
+// Steady reports whether the store has answered without a failure for
+// SettleTime, or since the start: what lapsed before was not in the table that
+// was read then. An instance that has just taken up reading goes by what others
+// found.
+func (f *Feed) Steady() bool {
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.began && !f.failing && (f.restored == 0 || now-f.restored >= d)
+	began, failing, restored, resumed := f.began, f.failing, f.restored, f.resumed
+	f.mu.Unlock()
+	now := f.timer.Boot()
+	switch {
+	case !began || failing || restored != 0 && now-restored < SettleTime:
+		return false
+	case resumed != 0 && now-resumed < SettleTime && f.PeersUnsteady != nil:
+		return !f.PeersUnsteady()
+	default:
+		return true
+	}
 }
--- a/coordination/gossip/beat.go
+++ b/coordination/gossip/beat.go
@@ -38,9 +38,7 @@
 	// which the others may not have read from the store yet.
 	Front string
 	Peer  string
-	// News is the version of the newest row of an upstream that matters to
-	// requests, StoreUnsteady is set while the store fails or has lately.
-	News          mirror.Version
+	// StoreUnsteady is set while the store fails or has lately.
 	StoreUnsteady bool
 	// Uptime is the time since the start.
 	Uptime time.Duration
@@ -75,7 +73,6 @@
 	Surrendered bool   `protobuf:"varint,7,opt,name=surrendered,proto3"`
 	Loading     int64  `protobuf:"varint,8,opt,name=loading,proto3"`
 	Zone        string `protobuf:"bytes,9,opt,name=zone,proto3"`
-	News        int64  `protobuf:"varint,10,opt,name=news,proto3"`
 	Unsteady    bool   `protobuf:"varint,11,opt,name=unsteady,proto3"`
 	Front       string `protobuf:"bytes,12,opt,name=front,proto3"`
 	Peer        string `protobuf:"bytes,13,opt,name=peer,proto3"`
@@ -112,7 +109,7 @@
 	m := &beatMessage{
 		Name: b.Name, Run: b.Run, Sequence: b.Sequence, Serving: b.Serving, UptimeMs: b.Uptime.Milliseconds(),
 		Lease: int64(b.Lease), Surrendered: b.Surrendered, Loading: int64(b.Loading),
-		Zone: b.Zone, News: int64(b.News), Unsteady: b.StoreUnsteady, Front: b.Front, Peer: b.Peer,
+		Zone: b.Zone, Unsteady: b.StoreUnsteady, Front: b.Front, Peer: b.Peer,
 	}
 	for t, v := range b.Versions {
 		m.Tables, m.Versions = append(m.Tables, uint32(t)), append(m.Versions, int64(v))
@@ -153,7 +150,7 @@
 	b := Beat{
 		Name: m.Name, Run: m.Run, Sequence: m.Sequence, Serving: m.Serving, Uptime: time.Duration(m.UptimeMs) * time.Millisecond,
 		Lease: mirror.Version(m.Lease), Surrendered: m.Surrendered, Loading: int(m.Loading),
-		Zone: m.Zone, News: mirror.Version(m.News), StoreUnsteady: m.Unsteady, Front: m.Front, Peer: m.Peer,
+		Zone: m.Zone, StoreUnsteady: m.Unsteady, Front: m.Front, Peer: m.Peer,
 		Versions: map[pool.Tag]mirror.Version{}, Spent: map[pool.Tag]float64{},
 	}
 	for i := range min(len(m.Tables), len(m.Versions)) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -36,17 +36,8 @@
 	// of which some row changes many times a second. Half of the time in which
 	// a leaving upstream must get no more requests is left for the rest.
 	upstreamGap = 1100 * time.Millisecond
-	// fleetGap gathers the claims of a fleet that starts, and perMember those of
-	// a large one, of which each row would wake all instances: at 118 instances
-	// they are read each 4.7 s, and told in beats before.
-	fleetGap    = 400 * time.Millisecond
-	perMember   = 40 * time.Millisecond
-	maxFleetGap = 8 * time.Second
-	// configurationPerMember gathers configurations in quick succession: at 118
-	// instances they are read each 0.7 s, a quarter of the time for one to be in
-	// force.
-	configurationPerMember = 6 * time.Millisecond
-	maxConfigurationGap    = 800 * time.Millisecond
+	// fleetGap gathers the rows of members and claims of a fleet that starts.
+	fleetGap = 400 * time.Millisecond
 )
 
 // timelineEvents is the number of events that an instance keeps.
@@ -120,9 +111,7 @@
 	members   members
 	// versionGrace is Config.VersionGrace as it was reloaded.
 	versionGrace atomic.Int64
-	// planWindow is Config.PlanWindow as it was reloaded.
-	planWindow atomic.Int64
-	leaving    atomic.Bool
+	leaving      atomic.Bool
 	// ends is the instant at which the instance stops, or 0.
 	ends atomic.Int64
 	life context.Context
@@ -130,11 +119,13 @@
 	// peers and fetching are the live peers and their adapter loads under way.
 	peers    atomic.Int64
 	fetching atomic.Int64
-	// news is the version of the newest row of an upstream that matters to
-	// requests, unsteady the last instant at which a peer found the store so.
-	news     atomic.Int64
+	// reads is set while this instance reads the tables of the store itself.
+	// wakes has the rows of a table taken from peers at once.
+	reads    atomic.Bool
+	wakes    map[string]chan struct{}
+	listings *mirror.Marks[listing]
+	// unsteady is the last instant at which a peer found that the store fails.
 	unsteady atomic.Int64
-	behind   map[string]behind
 }
 
 // New returns an instance that is not started. It fails when the peer address
@@ -150,7 +141,7 @@
 	}
 	e := &Entry{
 		Config: k, Adapter: a, timer: t, log: log.Named("entry"), run: time.Duration(t.Now().UnixNano()).Milliseconds(), began: t.Boot(),
-		pool: pool.New(), feeds: map[string]*feed.Feed{}, life: c, conn: conn, behind: map[string]behind{},
+		pool: pool.New(), feeds: map[string]*feed.Feed{}, life: c, conn: conn, wakes: map[string]chan struct{}{}, listings: mirror.NewMarks[listing](),
 		quota: newQuota(k.PlanWindow), versions: versions{known: map[pool.Adapter]versionState{}}, members: members{known: map[string]member{}},
 	}
 	recorder := timeline.New(k.Name, timelineEvents, t.Now)
@@ -158,7 +149,6 @@
 	e.gossip = gossip.New(k.Name, conn, t, log)
 	e.gossip.Compose, e.gossip.Heard, e.gossip.Addresses, e.gossip.Zone = e.compose, e.heard, e.addresses, k.Zone
 	e.versionGrace.Store(int64(k.VersionGrace))
-	e.planWindow.Store(int64(k.PlanWindow))
 	e.newFeeds(log)
 	e.newDuties(r, log)
 	e.handle()
@@ -166,17 +156,17 @@
 }
 
 func (e *Entry) newFeeds(log *zap.Logger) {
-	for table, changed := range map[string]func([]mirror.Row){
+	for table, changed := range map[string]func(rows []mirror.Row, steady bool){
 		e.Tables.Configuration: e.configurationChanged,
 		e.Tables.Upstreams:     e.upstreamsChanged,
 		ownership.FleetTable:   e.fleetChanged,
 	} {
-		e.feeds[table] = feed.New(table, e.Store, e.timer, log, changed)
+		f := feed.New(table, e.Store, e.timer, log, changed)
+		f.Reads, f.PeersUnsteady = e.reads.Load, e.peersUnsteady
+		e.feeds[table], e.wakes[table] = f, make(chan struct{}, 1)
 	}
-	u := e.feeds[e.Tables.Upstreams]
-	u.Gap, u.Due = func() time.Duration { return upstreamGap }, e.readsUpstreams
-	e.feeds[ownership.FleetTable].Gap = func() time.Duration { return max(fleetGap, min(maxFleetGap, e.members.each(perMember))) }
-	e.feeds[e.Tables.Configuration].Gap = func() time.Duration { return min(maxConfigurationGap, e.members.each(configurationPerMember)) }
+	e.feeds[e.Tables.Upstreams].Gap = upstreamGap
+	e.feeds[ownership.FleetTable].Gap = fleetGap
 }
 
 func (e *Entry) newDuties(r prometheus.Registerer, log *zap.Logger) {
@@ -207,8 +197,9 @@
 	}
 	failed := make(chan error, 1)
 	go func() { failed <- e.mesh.Serve(c, l) }()
-	for _, f := range e.feeds {
+	for t, f := range e.feeds {
 		go f.Run(c)
+		go e.follow(c, t)
 	}
 	go e.gossip.Run(c)
 	go e.ownership.Run(c)
@@ -229,7 +220,7 @@
 func (e *Entry) Reload(k Config) {
 	e.versionGrace.Store(int64(k.VersionGrace))
 	e.orders.SetTiming(k.Timing)
-	e.planWindow.Store(int64(k.PlanWindow))
+	e.quota.setWindow(k.PlanWindow, e.timer.Boot())
 	k.Dispatch.Zone = e.Zone
 	e.Dispatcher.Reload(k.Dispatch)
 }
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -28,14 +28,12 @@
 	rowsMethod   = "mirror/rows"
 	// loadCallTime bounds the wait for the owner of an engine: a report, an
 	// unload and a load.
-	loadCallTime = 900 * time.Millisecond
-	// rowsCallTime bounds the reading of rows from another instance.
-	rowsCallTime  = 800 * time.Millisecond
+	loadCallTime  = 900 * time.Millisecond
 	houseInterval = 250 * time.Millisecond
 	// forgetMember is the silence after which a member's row is removed.
 	forgetMember = 20 * time.Second
 	// introduceTime is the age up to which an instance tells its addresses in
-	// its beats: the longest gap between two reads of the members.
+	// its beats, for those that the store does not tell of it.
 	introduceTime = 10 * time.Second
 	// youngTime is the age up to which an instance takes over levels.
 	youngTime = 2 * adoptWithin
@@ -76,11 +74,11 @@
 	m.known[name] = x
 }
 
-// each returns a time for each known member.
-func (m *members) each(d time.Duration) time.Duration {
+// count returns the number of known members.
+func (m *members) count() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return time.Duration(len(m.known)) * d
+	return len(m.known)
 }
 
 func (m *members) remove(name string) {
@@ -106,7 +104,7 @@
 }
 
 // fleetChanged takes over rows of members and claims.
-func (e *Entry) fleetChanged(rows []mirror.Row) {
+func (e *Entry) fleetChanged(rows []mirror.Row, _ bool) {
 	e.ownership.Changed(rows)
 	log := e.rowLog("fleet", rows)
 	for _, r := range rows {
@@ -164,21 +162,19 @@
 	young := e.countPeers(now)
 	lease, surrendered := e.ownership.Lease(now)
 	b := gossip.Beat{
-		Run: e.run, Serving: e.Ready(), Zone: e.Zone, News: mirror.Version(e.news.Load()),
-		StoreUnsteady: !e.feeds[e.Tables.Upstreams].Steady(now, steadyTime), Uptime: now - e.began, Lease: lease, Surrendered: surrendered,
+		Run: e.run, Serving: e.Ready(), Zone: e.Zone, StoreUnsteady: !e.feeds[e.Tables.Upstreams].Steady(), Uptime: now - e.began, Lease: lease, Surrendered: surrendered,
 		Work: e.pool.OwnWork(), Loading: e.orders.Own(), Versions: map[pool.Tag]mirror.Version{},
 	}
 	if b.Uptime < introduceTime {
 		b.Front, b.Peer = e.FrontAddress, e.PeerAddress
 	}
 	_, far := e.gossip.Silence()
-	e.setPlanWindow(now)
 	b.Spent, b.Left = e.quota.report(far, now)
 	if !young {
 		b.Left = nil
 	}
-	for t, f := range e.feeds {
-		b.Versions[pool.NewTag(t)] = f.Mirror.Newest()
+	for t := range e.feeds {
+		b.Versions[pool.NewTag(t)] = e.version(t)
 	}
 	for id, k := range e.ownership.Owned(now) {
 		held, recent := e.pool.Held(id)
@@ -207,10 +203,11 @@
 // heard takes over what another instance tells.
 func (e *Entry) heard(b gossip.Beat) {
 	now := e.timer.Boot()
-	if b.StoreUnsteady && b.Uptime > steadyTime {
+	if b.StoreUnsteady && b.Uptime > feed.SettleTime {
 		e.unsteady.Store(int64(now))
 	}
 	e.introduce(b)
+	e.wakeFollowers(b)
 	e.pool.SetPeer(b.Name, b.Work)
 	e.quota.heard(b, now-e.began, now)
 	for _, p := range b.Places {
@@ -264,10 +261,7 @@
 			e.expel(c, p.Name, m)
 		}
 	}
-	live := e.gossip.Live(now)
-	for t, f := range e.feeds {
-		e.catchUp(c, t, f, live)
-	}
+	e.chooseReader(now)
 }
 
 func (e *Entry) expel(c context.Context, name string, m member) {
@@ -278,52 +272,6 @@
 	}
 }
 
-// behind is a version of a table that a peer has told of.
-type behind struct {
-	version mirror.Version
-	since   time.Duration
-}
-
-// behindTime is how long a table may be behind what a peer tells before its
-// rows are asked for, beside the time between two looks at it.
-const behindTime = 400 * time.Millisecond
-
-// catchUp asks a live peer for rows that the store has not told yet.
-func (e *Entry) catchUp(c context.Context, table string, f *feed.Feed, live []*gossip.Peer) {
-	mine, now, t := f.Mirror.Newest(), e.timer.Boot(), pool.NewTag(table)
-	var best *gossip.Peer
-	for _, p := range live {
-		if v := p.Versions[t]; v > mine && (best == nil || v > best.Versions[t]) {
-			best = p
-		}
-	}
-	b := e.behind[table]
-	switch {
-	case best == nil:
-		delete(e.behind, table)
-		return
-	case mine >= b.version:
-		e.behind[table] = behind{version: best.Versions[t], since: now}
-		return
-	case now-b.since < f.Gap()+behindTime && !f.Failing():
-		return
-	}
-	m, ok := e.members.get(best.Name)
-	if !ok {
-		return
-	}
-	x, cancel := context.WithTimeout(c, rowsCallTime)
-	defer cancel()
-	r, err := mesh.Call[rowsQuery, rowsReply](x, e.mesh, m.peer.String(), rowsMethod, &rowsQuery{Table: table, After: int64(mine)})
-	if err != nil {
-		e.log.Warn("newer rows cannot be read", zap.String("table", table), zap.String("from", best.Name), zap.Error(err))
-		return
-	}
-	e.log.Info("newer rows read", zap.String("table", table), zap.String("from", best.Name), zap.Int("rows", len(r.Rows)),
-		zap.Int64("had", int64(mine)), zap.Int64("has", int64(best.Versions[t])))
-	f.Learn(r.mirrorRows())
-}
-
 type loadQuery struct {
 	mesh.Message
 	Upstream string `protobuf:"bytes,1,opt,name=upstream,proto3"`
@@ -339,33 +287,6 @@
 	Full      bool  `protobuf:"varint,3,opt,name=full,proto3"`
 }
 
-type rowsQuery struct {
-	mesh.Message
-	Table string `protobuf:"bytes,1,opt,name=table,proto3"`
-	After int64  `protobuf:"varint,2,opt,name=after,proto3"`
-}
-
-type rowMessage struct {
-	mesh.Message
-	Key     string `protobuf:"bytes,1,opt,name=key,proto3"`
-	Value   []byte `protobuf:"bytes,2,opt,name=value,proto3"`
-	Version int64  `protobuf:"varint,3,opt,name=version,proto3"`
-	Removed bool   `protobuf:"varint,4,opt,name=removed,proto3"`
-}
-
-type rowsReply struct {
-	mesh.Message
-	Rows []*rowMessage `protobuf:"bytes,1,rep,name=rows,proto3"`
-}
-
-func (r *rowsReply) mirrorRows() []mirror.Row {
-	out := make([]mirror.Row, 0, len(r.Rows))
-	for _, x := range r.Rows {
-		out = append(out, mirror.Row{Key: x.Key, Value: x.Value, Version: mirror.Version(x.Version), Removed: x.Removed})
-	}
-	return out
-}
-
 // handle registers what other instances may call.
 func (e *Entry) handle() {
 	mesh.Handle(e.mesh, loadMethod, func(c context.Context, _ string, q *loadQuery) (*loadReply, error) {
@@ -380,12 +301,6 @@
 		return &loadReply{ReadyInMs: d.Milliseconds()}, err
 	})
 	mesh.Handle(e.mesh, rowsMethod, func(_ context.Context, _ string, q *rowsQuery) (*rowsReply, error) {
-		r := &rowsReply{}
-		if f, ok := e.feeds[q.Table]; ok {
-			for _, x := range f.Mirror.Since(mirror.Version(q.After)) {
-				r.Rows = append(r.Rows, &rowMessage{Key: x.Key, Value: x.Value, Version: int64(x.Version), Removed: x.Removed})
-			}
-		}
-		return r, nil
+		return e.newerRows(q.Table, mirror.Version(q.After)), nil
 	})
 }
--- a/entry/quota.go
+++ b/entry/quota.go
@@ -8,7 +8,6 @@
 	"gentiangauge.example/gentiangauge/refusal"
 	"gentiangauge.example/gentiangauge/state/allowance"
 	"gentiangauge.example/gentiangauge/state/pool"
-	"gentiangauge.example/gentiangauge/state/reader"
 	"gentiangauge.example/gentiangauge/state/route"
 )
 
@@ -49,16 +48,6 @@
 	}
 }
 
-// setPlanWindow lets workspaces spread their burst, but for large fleets: what
-// the instances hear of each other there is older.
-func (e *Entry) setPlanWindow(now time.Duration) {
-	w := time.Duration(e.planWindow.Load())
-	if reader.Large(int(e.peers.Load())) {
-		w = 0
-	}
-	e.quota.setWindow(w, now)
-}
-
 func workspaceTag(n route.WorkspaceName) pool.Tag {
 	return pool.NewTag(string(n))
 }
--- a/entry/rows.go
+++ b/entry/rows.go
@@ -12,14 +12,9 @@
 	"gentiangauge.example/gentiangauge/state/route"
 )
 
-const (
-	// returnTime is how long after an outage of the store the rows of living
-	// upstreams may be missing, as the platform states it.
-	returnTime = 2 * time.Second
-	// steadyTime is how long the store has to be reachable before a missing
-	// row is believed at once: returnTime and the delay of a call.
-	steadyTime = returnTime + 300*time.Millisecond
-)
+// returnTime is how long after an outage of the store the rows of living
+// upstreams may be missing, as the platform states it.
+const returnTime = 2 * time.Second
 
 // versionState is what is known of an adapter's versions.
 type versionState struct {
@@ -33,7 +28,7 @@
 }
 
 // configurationChanged takes over rows of the operators.
-func (e *Entry) configurationChanged(rows []mirror.Row) {
+func (e *Entry) configurationChanged(rows []mirror.Row, _ bool) {
 	for _, r := range rows {
 		switch {
 		case r.Removed:
@@ -90,14 +85,27 @@
 	return s.newest, s.newest
 }
 
-// upstreamsChanged takes over the platform's list of upstreams.
-func (e *Entry) upstreamsChanged(rows []mirror.Row) {
+// upstreamsChanged takes over the platform's list of upstreams as it was read
+// from the store. The others are told at once of what matters to requests.
+func (e *Entry) upstreamsChanged(rows []mirror.Row, steady bool) {
+	if e.takeUpstreams(rows, nil, steady) {
+		e.gossip.Send()
+	}
+}
+
+// takeUpstreams takes over rows of the list of upstreams, and reports whether
+// they changed in what matters. Since are the versions of these changes, if
+// they are not those of the rows.
+func (e *Entry) takeUpstreams(rows []mirror.Row, since map[string]mirror.Version, steady bool) (news bool) {
 	now, log := e.timer.Boot(), e.rowLog("upstreams", rows)
 	for _, r := range rows {
-		id := pool.ID(r.Key)
+		id, v := pool.ID(r.Key), r.Version
+		if x, ok := since[r.Key]; ok {
+			v = x
+		}
 		if r.Removed {
-			e.noteNews(r.Version)
-			e.removeUpstream(id, now)
+			news = e.listings.Note(r.Key, listing{}, v) || news
+			e.removeUpstream(id, now, steady)
 			continue
 		}
 		u, err := e.DecodeUpstream(r.Key, r.Value)
@@ -105,13 +113,14 @@
 			e.log.Warn("upstream cannot be read", zap.String("row", r.Key), zap.Error(err))
 			continue
 		}
-		if old, ok := e.pool.Get(id, now); !ok || old.Draining != u.Draining || old.Born != u.Born || old.Address != u.Address || len(old.Models) != len(u.Models) {
-			e.noteNews(r.Version)
+		if e.listings.Note(r.Key, newListing(u), v) {
+			news = true
 			log("upstream", zap.String("id", r.Key), zap.String("service", string(u.Service)), zap.String("address", u.Address),
 				zap.Bool("draining", u.Draining), zap.Int64("born", u.Born), zap.Int64("row-version", int64(r.Version)))
 		}
 		e.pool.Put(u)
 	}
+	return news
 }
 
 // manyRows is the number of rows from which on they are told of in one line of
@@ -129,9 +138,9 @@
 
 // removeUpstream drops an upstream, at once while the store is reachable, and
 // otherwise after the time in which rows of living upstreams return.
-func (e *Entry) removeUpstream(id pool.ID, now time.Duration) {
+func (e *Entry) removeUpstream(id pool.ID, now time.Duration, steady bool) {
 	at := now
-	if !e.feeds[e.Tables.Upstreams].Steady(now, steadyTime) || e.peersUnsteady(now) {
+	if !steady {
 		at += returnTime
 	}
 	e.pool.Remove(id, at)
--- a/state/mirror/mirror.go
+++ b/state/mirror/mirror.go
@@ -33,7 +33,8 @@
 }
 
 // Apply takes over rows that are newer than the copy's and returns those that
-// changed it. An older row never replaces a newer one.
+// changed it. An older row never replaces a newer one. The rows are complete up
+// to a version, or 0.
 func (m *Mirror) Apply(rows []Row, upTo Version) []Row {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -43,7 +44,6 @@
 			continue
 		}
 		m.rows[r.Key] = r
-		m.version = max(m.version, r.Version)
 		m.newest = max(m.newest, r.Version)
 		changed = append(changed, r)
 	}
--- a/state/reader/reader.go
+++ b/state/reader/reader.go
@@ -1,41 +1,33 @@
-// Package reader decides which instances of a large fleet read a table that
-// changes all the time, and when the others do.
+// Package reader decides which instances of an availability zone read the
+// tables of the store. The others take the rows from them.
 //
-// Load pattern: hundreds of engines change their rows at each heartbeat, for
-// hundreds of instances.
+// Load pattern: every change of a row answers every call that waits for it, and
+// each call is paid for, also those to a store that is away. The calls must not
+// grow with the number of instances.
 package reader
 
 import (
-	"time"
-
 	"github.com/cespare/xxhash/v2"
-
-	"gentiangauge.example/gentiangauge/state/mirror"
 )
 
 const (
-	// from is the number of peers from which on some instances read for all. In
-	// smaller fleets the calls cost little.
-	from = 40
-	// maxIdle is the longest time between two reads of an instance; the store
-	// keeps twice as much history.
-	maxIdle = 8 * time.Second
+	// perZone is the number of readers of an availability zone while the store
+	// answers them: one may be frozen or cut off.
+	perZone = 2
+	// maxPerZone is the number of instances that try while the store does not
+	// answer: it may turn some away and serve others.
+	maxPerZone = 4
 )
 
-// Large reports whether some instances of the fleet read for all.
-func Large(peers int) bool {
-	return peers >= from
-}
-
 // Peer is what an instance knows of another one.
 type Peer struct {
 	Name string
 	Zone string
-	// News is the version of the newest row that matters and that it knows.
-	News mirror.Version
-	// Reads is set if it can read: it serves and reaches the store.
-	Reads bool
-	// Fresh is set if it was heard lately.
+	// Serves is set if the peer takes callers, and Steady if the store
+	// answers it, or if it does not read.
+	Serves bool
+	Steady bool
+	// Fresh is set if the peer was heard lately.
 	Fresh bool
 }
 
@@ -43,27 +35,23 @@
 type Self struct {
 	Name string
 	Zone string
-	News mirror.Version
-	// Idle is the time since its last read.
-	Idle time.Duration
 }
 
 func weight(name string) uint64 { return xxhash.Sum64String("reader/" + name) }
 
-// Due reports whether an instance reads now: it is the reader of its zone,
-// hears of none, a peer knows news, or its last read is long ago.
-func Due(s Self, peers []Peer) bool {
-	if !Large(len(peers)) || s.Idle > maxIdle {
-		return true
-	}
-	heard := false
+// Reads reports whether an instance reads the tables itself: too few living
+// instances of its zone come before it in the order of readers.
+func Reads(s Self, peers []Peer) bool {
+	before, steady := 0, 0
+	own := weight(s.Name)
 	for _, p := range peers {
-		if p.News > s.News {
-			return true
+		if !p.Serves || !p.Fresh || p.Zone != s.Zone || weight(p.Name) <= own {
+			continue
 		}
-		if p.Reads && p.Fresh && p.Zone == s.Zone && weight(p.Name) > weight(s.Name) {
-			heard = true
+		before++
+		if p.Steady {
+			steady++
 		}
 	}
-	return !heard
+	return steady < perZone && before < maxPerZone
 }
