dispatch: the owner of an engine is asked for an adapter before each request

Change: a request for an adapter that is known to be there asks the owner, whose answer also keeps the adapter until the request has arrived; an owner that does not answer is left alone for a while and the request goes by what is known. A missing adapter is told to the owner.

Ruled out: an answer by way of the worker of the engine, which waits for orders of up to 0.3 s.

--- a/coordination/orders/orders.go
+++ b/coordination/orders/orders.go
@@ -23,6 +23,8 @@
 	// ErrStoreBusy says that the weight store has as many loads under way as it
 	// serves at full speed.
 	ErrStoreBusy = eris.New("the weight store is busy")
+	// ErrAbsent says that the engine does not hold the adapter.
+	ErrAbsent = eris.New("the engine does not hold the adapter")
 	// ErrUnsure says that the state of the engine is not known at the moment.
 	ErrUnsure = eris.New("the state of the engine is not known")
 )
@@ -103,6 +105,29 @@
 	return ready, err
 }
 
+// Grant returns the time until an adapter that an engine holds is ready, and
+// keeps it there until the request that asks has arrived. It does not wait for
+// orders to the engine. It fails with ownership.ErrNotOwner or ErrAbsent.
+//
+// Load pattern: what the instances know of the adapters on an engine is older
+// than the time for which many of them stay there.
+func (o *Orders) Grant(id pool.ID, a pool.Adapter, v route.Version) (time.Duration, error) {
+	now := o.Timer.Boot()
+	if _, err := o.Ownership.Token(id, now); err != nil {
+		return 0, err
+	}
+	h, ok := o.Pool.Holds(id, a)
+	if !ok || h.Version < v {
+		return 0, ErrAbsent
+	}
+	o.worker(id).Tell(func(e *engine) {
+		if p, ok := e.places[a]; ok {
+			p.grant(now)
+		}
+	})
+	return max(0, h.ReadyAt-now), nil
+}
+
 func (o *Orders) load(c context.Context, e *engine, id pool.ID, a pool.Adapter, v route.Version) (time.Duration, error) {
 	if err := o.sync(c, e, id); err != nil {
 		return 0, err
@@ -126,8 +151,7 @@
 		return 0, eris.Wrap(ErrFull, e.occupation(u, now))
 	case present:
 		p := e.places[a]
-		p.used(now, 1)
-		p.grantedUntil = max(now, p.readyAt) + grantTime
+		p.grant(now)
 		return max(0, p.readyAt-now), nil
 	}
 	if d == evict {
--- a/coordination/orders/orders_test.go
+++ b/coordination/orders/orders_test.go
@@ -312,3 +312,42 @@
 		t.Errorf("%d orders were given", b.calls)
 	}
 }
+
+// TestGrantedAdapterStays asks for an adapter that is there: it is not evicted
+// before the request can have arrived, however little it was used.
+func TestGrantedAdapterStays(t *testing.T) {
+	b := newBench(t, 0)
+	for i := range slots {
+		if _, err := b.load(i); err != nil {
+			t.Fatal(err)
+		}
+		b.pass(time.Second)
+	}
+	// The first one was used longest ago.
+	if _, err := b.orders.Grant("e0", adapter(0), 1); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := b.load(slots); err != nil {
+		t.Fatal(err)
+	}
+	if _, ok := b.places[adapter(0)]; !ok {
+		t.Error("the granted adapter was evicted")
+	}
+	if _, err := b.orders.Grant("e0", adapter(1), 1); !errors.Is(err, orders.ErrAbsent) {
+		t.Errorf("the evicted adapter is granted: %v", err)
+	}
+	if _, err := b.orders.Grant("e0", adapter(0), 2); !errors.Is(err, orders.ErrAbsent) {
+		t.Errorf("a newer version is granted: %v", err)
+	}
+}
+
+func TestNoGrantWithoutOwnership(t *testing.T) {
+	b := newBench(t, 0)
+	if _, err := b.load(1); err != nil {
+		t.Fatal(err)
+	}
+	b.owner.Leave()
+	if _, err := b.orders.Grant("e0", adapter(1), 1); !errors.Is(err, ownership.ErrNotOwner) {
+		t.Errorf("granted by an instance that leaves: %v", err)
+	}
+}
--- a/coordination/orders/plan.go
+++ b/coordination/orders/plan.go
@@ -51,6 +51,12 @@
 	p.score += n
 }
 
+// grant keeps the adapter for a request that is on its way.
+func (p *place) grant(now time.Duration) {
+	p.used(now, 1)
+	p.grantedUntil = max(p.grantedUntil, max(now, p.readyAt)+grantTime)
+}
+
 func (p *place) decay(now time.Duration) {
 	for now-p.scoreAt >= scoreHalf {
 		p.score /= 2
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -124,6 +123,7 @@
 	reads    atomic.Bool
 	wakes    map[string]chan struct{}
 	listings *mirror.Marks[listing]
+	owners   *owners
 	// unsteady is the last instant at which a peer found that the store fails.
 	unsteady atomic.Int64
 }
@@ -141,7 +141,7 @@
 	}
 	e := &Entry{
 		Config: k, Adapter: a, timer: t, log: log.Named("entry"), run: time.Duration(t.Now().UnixNano()).Milliseconds(), began: t.Boot(),
-		pool: pool.New(), feeds: map[string]*feed.Feed{}, life: c, conn: conn, wakes: map[string]chan struct{}{}, listings: mirror.NewMarks[listing](),
+		pool: pool.New(), feeds: map[string]*feed.Feed{}, life: c, conn: conn, wakes: map[string]chan struct{}{}, listings: mirror.NewMarks[listing](), owners: newOwners(c),
 		quota: newQuota(k.PlanWindow), versions: versions{known: map[pool.Adapter]versionState{}}, members: members{known: map[string]member{}},
 	}
 	recorder := timeline.New(k.Name, timelineEvents, t.Now)
@@ -182,7 +182,7 @@
 		Timer: e.timer, Pool: e.pool, Log: log, Table: e.table.Load, Versions: e.adapterVersions,
 		Take:   func(w *route.Workspace, n float64) error { return e.quota.take(w, n, e.timer.Boot()) },
 		Return: func(w *route.Workspace, n float64) { e.quota.giveBack(w, n, e.timer.Boot()) },
-		Load:   e.load, Orderable: e.orderable, Lost: e.lost, Send: e.Send, Draw: rand.Float64,
+		Load:   e.load, Grant: e.grant, Orderable: e.orderable, Lost: e.lost, Send: e.Send, Draw: rand.Float64,
 		Ends:    func() time.Duration { return time.Duration(e.ends.Load()) },
 		Peers:   func() int { return int(e.peers.Load()) },
 		Metrics: dispatch.NewMetrics(r),
@@ -299,38 +299,6 @@
 	return int(e.fetching.Load())
 }
 
-// load has the owner of an engine load an adapter.
-func (e *Entry) load(c context.Context, id pool.ID, a pool.Adapter, v route.Version) (time.Duration, error) {
-	owner, ok := e.ownership.Owner(id)
-	if !ok {
-		return 0, ownership.ErrNotOwner
-	}
-	if owner == e.Name {
-		return e.orders.Load(c, id, a, v)
-	}
-	m, ok := e.members.get(owner)
-	if !ok {
-		return 0, ownership.ErrNotOwner
-	}
-	x, cancel := context.WithTimeout(c, loadCallTime)
-	defer cancel()
-	q := &loadQuery{Upstream: string(id), Model: string(a.Model), Adapter: string(a.Name), Version: int64(v)}
-	r, err := mesh.Call[loadQuery, loadReply](x, e.mesh, m.peer.String(), loadMethod, q)
-	if err != nil {
-		if errors.Is(err, mesh.ErrUnreachable) && c.Err() == nil {
-			e.mesh.Disconnect(m.peer.String())
-		}
-		return 0, err
-	}
-	switch {
-	case r.StoreBusy:
-		return 0, orders.ErrStoreBusy
-	case r.Full:
-		return 0, orders.ErrFull
-	}
-	return time.Duration(r.ReadyInMs) * time.Millisecond, nil
-}
-
 // orderable reports whether an engine has an owner that gives orders.
 func (e *Entry) orderable(id pool.ID) bool {
 	owner, ok := e.ownership.Owner(id)
@@ -345,9 +313,3 @@
 	p, heard := e.gossip.Hears(owner, now)
 	return heard && !p.Surrendered && p.Lease != 0
 }
-
-func (e *Entry) lost(id pool.ID, a pool.Adapter) {
-	if owner, ok := e.ownership.Owner(id); ok && owner == e.Name {
-		e.orders.Lost(id, a)
-	}
-}
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"net/netip"
 	"strings"
 	"sync"
@@ -13,22 +12,16 @@
 
 	"gentiangauge.example/gentiangauge/coordination/feed"
 	"gentiangauge.example/gentiangauge/coordination/gossip"
-	"gentiangauge.example/gentiangauge/coordination/orders"
 	"gentiangauge.example/gentiangauge/coordination/ownership"
 	"gentiangauge.example/gentiangauge/state/mirror"
 	"gentiangauge.example/gentiangauge/state/pool"
-	"gentiangauge.example/gentiangauge/state/route"
 	"gentiangauge.example/gentiangauge/transport/mesh"
 	"gentiangauge.example/gentiangauge/transport/store"
 )
 
 const (
-	memberPrefix = "member."
-	loadMethod   = "orders/load"
-	rowsMethod   = "mirror/rows"
-	// loadCallTime bounds the wait for the owner of an engine: a report, an
-	// unload and a load.
-	loadCallTime  = 900 * time.Millisecond
+	memberPrefix  = "member."
+	rowsMethod    = "mirror/rows"
 	houseInterval = 250 * time.Millisecond
 	// forgetMember is the silence after which a member's row is removed.
 	forgetMember = 20 * time.Second
@@ -274,34 +267,9 @@
 	}
 }
 
-type loadQuery struct {
-	mesh.Message
-	Upstream string `protobuf:"bytes,1,opt,name=upstream,proto3"`
-	Model    string `protobuf:"bytes,2,opt,name=model,proto3"`
-	Adapter  string `protobuf:"bytes,3,opt,name=adapter,proto3"`
-	Version  int64  `protobuf:"varint,4,opt,name=version,proto3"`
-}
-
-type loadReply struct {
-	mesh.Message
-	ReadyInMs int64 `protobuf:"varint,1,opt,name=ready_in_ms,proto3"`
-	StoreBusy bool  `protobuf:"varint,2,opt,name=store_busy,proto3"`
-	Full      bool  `protobuf:"varint,3,opt,name=full,proto3"`
-}
-
 // handle registers what other instances may call.
 func (e *Entry) handle() {
-	mesh.Handle(e.mesh, loadMethod, func(c context.Context, _ string, q *loadQuery) (*loadReply, error) {
-		a := pool.Adapter{Model: route.ModelName(q.Model), Name: route.AdapterName(q.Adapter)}
-		d, err := e.orders.Load(c, pool.ID(q.Upstream), a, route.Version(q.Version))
-		switch {
-		case errors.Is(err, orders.ErrStoreBusy):
-			return &loadReply{StoreBusy: true}, nil
-		case errors.Is(err, orders.ErrFull):
-			return &loadReply{Full: true}, nil
-		}
-		return &loadReply{ReadyInMs: d.Milliseconds()}, err
-	})
+	e.serveOrders()
 	mesh.Handle(e.mesh, rowsMethod, func(_ context.Context, _ string, q *rowsQuery) (*rowsReply, error) {
 		return e.newerRows(q.Table, mirror.Version(q.After)), nil
 	})
--- a/protocol/dispatch/attempt.go
+++ b/protocol/dispatch/attempt.go
@@ -117,7 +117,11 @@
 			return h, late
 		}
 		if !h.Load {
-			return h, d.await(c, j, h.ID, h.ReadyIn)
+			ready, held := d.granted(c, j, h)
+			if !held {
+				continue
+			}
+			return h, d.await(c, j, h.ID, ready)
 		}
 		ready, err := d.Load(c, h.ID, j.Adapter, h.Version)
 		if err == nil {
@@ -151,6 +155,27 @@
 	}
 }
 
+// granted asks the owner of an engine for an adapter that is known to be there.
+// It returns the time until it is ready, and false if it is not there any more.
+// If the owner cannot be asked, what is known holds.
+func (d *Dispatcher) granted(c context.Context, j *job, h pool.Choice) (time.Duration, bool) {
+	if j.service.Engine == nil || j.Adapter.Name == "" {
+		return h.ReadyIn, true
+	}
+	ready, err := d.Grant(c, h.ID, j.Adapter, h.Version)
+	switch {
+	case err == nil:
+		return ready, true
+	case errors.Is(err, orders.ErrAbsent):
+		d.Log.Info("adapter is gone", zap.String("request", j.ID), zap.String("upstream", string(h.ID)), zap.String("adapter", string(j.Adapter.Name)))
+		d.Pool.Missing(h.ID, j.Adapter)
+		return 0, false
+	default:
+		d.Log.Debug("owner cannot be asked", zap.String("request", j.ID), zap.String("upstream", string(h.ID)), zap.Error(err))
+		return h.ReadyIn, true
+	}
+}
+
 // tooLate refuses a request whose answer would begin after its time.
 func (d *Dispatcher) tooLate(j *job, h pool.Choice, now time.Duration) error {
 	if j.service.Engine == nil || j.runs > 0 {
--- a/protocol/dispatch/dispatch.go
+++ b/protocol/dispatch/dispatch.go
@@ -97,6 +97,10 @@
 	// Load has the owner of an engine load an adapter, and returns the time
 	// until it is ready.
 	Load func(c context.Context, id pool.ID, a pool.Adapter, v route.Version) (time.Duration, error)
+	// Grant has the owner of an engine keep an adapter for a request on its way,
+	// and returns the time until it is ready. It fails with orders.ErrAbsent if
+	// the engine does not hold it; other errors say that the owner cannot tell.
+	Grant func(c context.Context, id pool.ID, a pool.Adapter, v route.Version) (time.Duration, error)
 	// Orderable reports whether an engine has an owner that gives orders.
 	Orderable func(id pool.ID) bool
 	// Lost notes that an engine lacks an adapter that it was said to hold.
--- a/protocol/dispatch/dispatch_test.go
+++ b/protocol/dispatch/dispatch_test.go
@@ -34,6 +34,7 @@
 	// answer answers the n-th send, counted from 1.
 	answer func(n int, s dispatch.Send) (*dispatch.Answer, error)
 	load   func() (time.Duration, error)
+	grant  func(id pool.ID) (time.Duration, error)
 	sends  []dispatch.Send
 	given  float64
 	ends   time.Duration
@@ -52,6 +53,7 @@
 		b.pool.Put(pool.Upstream{ID: pool.ID(fmt.Sprintf("s%d", i)), Service: "orders", Slots: 6, Address: "127.0.0.1:1"})
 	}
 	b.load = func() (time.Duration, error) { return 0, nil }
+	b.grant = func(pool.ID) (time.Duration, error) { return 0, nil }
 	t := route.New(route.Config{
 		Version: 1,
 		Routes: []route.Route{
@@ -74,6 +76,9 @@
 		Load: func(context.Context, pool.ID, pool.Adapter, route.Version) (time.Duration, error) {
 			return b.load()
 		},
+		Grant: func(_ context.Context, id pool.ID, _ pool.Adapter, _ route.Version) (time.Duration, error) {
+			return b.grant(id)
+		},
 		Lost: func(pool.ID, pool.Adapter) {}, Send: b.send, Peers: func() int { return 0 }, Ends: func() time.Duration { return b.ends }, Draw: func() float64 { return 0.5 },
 		Metrics: dispatch.NewMetrics(prometheus.NewRegistry()),
 	})
@@ -316,6 +321,43 @@
 
 // TestRequestWithoutRoomIsRefusedInTime keeps every engine full: the caller is
 // told before its patience ends.
+// TestAdapterThatIsGoneCostsNoArrival replays wtw-prod-large trouble-3, where 18
+// in 100 arrivals found their adapter gone: what is known of it is as old as the
+// last beat, so its owner is asked before.
+func TestAdapterThatIsGoneCostsNoArrival(t *testing.T) {
+	b := newBench(2)
+	for _, id := range []pool.ID{"e0", "e1"} {
+		b.pool.SetHeld(id, map[pool.Tag]pool.Held{adapter.Tag(): {}}, nil)
+	}
+	gone := pool.ID("")
+	b.grant = func(id pool.ID) (time.Duration, error) {
+		if gone == "" || id == gone {
+			gone = id
+			return 0, orders.ErrAbsent
+		}
+		return 0, nil
+	}
+	b.answer = func(int, dispatch.Send) (*dispatch.Answer, error) { return stream(secondHalf, false), nil }
+	if w, err := b.serve("/chat/"); err != nil || w.Code != http.StatusOK {
+		t.Fatalf("status %d, %v", w.Code, err)
+	}
+	if len(b.sends) != 1 || b.sends[0].Upstream.ID == gone {
+		t.Errorf("sent %d times, the first to %s, where the adapter is gone", len(b.sends), b.sends[0].Upstream.ID)
+	}
+}
+
+// TestOwnerThatCannotBeAskedHoldsNothingUp has the owner of the engine out of
+// reach: the request goes by what is known.
+func TestOwnerThatCannotBeAskedHoldsNothingUp(t *testing.T) {
+	b := newBench(1)
+	b.pool.SetHeld("e0", map[pool.Tag]pool.Held{adapter.Tag(): {}}, nil)
+	b.grant = func(pool.ID) (time.Duration, error) { return 0, orders.ErrUnsure }
+	b.answer = func(int, dispatch.Send) (*dispatch.Answer, error) { return stream(secondHalf, false), nil }
+	if w, err := b.serve("/chat/"); err != nil || w.Code != http.StatusOK {
+		t.Fatalf("status %d, %v", w.Code, err)
+	}
+}
+
 func TestRequestWithoutRoomIsRefusedInTime(t *testing.T) {
 	b := newBench(3)
 	b.load = func() (time.Duration, error) { return 0, orders.ErrFull }
--- a/state/allowance/allowance.go
+++ b/state/allowance/allowance.go
@@ -91,7 +91,7 @@
 	startTime = 2 * time.Second
 	// minUptime is the age from which on the use of another instance is
 	// believed: before, it says little of its rate.
-	minUptime = 500 * time.Millisecond
+	minUptime = 150 * time.Millisecond
 )
 
 // evenShare is the part of the burst that the second bucket holds: enough for
--- a/state/pool/pool.go
+++ b/state/pool/pool.go
@@ -217,6 +217,18 @@
 	return max(0, h.ReadyAt-now), ok
 }
 
+// Holds returns an adapter as it is known to be on an upstream.
+func (p *Pool) Holds(id ID, a Adapter) (Held, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e, ok := p.entries[id]
+	if !ok {
+		return Held{}, false
+	}
+	h, ok := e.held[a.Tag()]
+	return h, ok
+}
+
 // Missing notes that an upstream said that it does not hold an adapter.
 func (p *Pool) Missing(id ID, a Adapter) {
 	p.mu.Lock()
