retry: one budget of the fleet in place of a part for each instance

Change: instances tell what they sent, each knows how many retries are left to all; what it may send before the others hear of it is bounded apart. The state is a package of its own, without input or output.

Ruled out: larger parts (195 of them pass the promise when all upstreams fail), savings of ten seconds (twice the promise).

--- a/coordination/gossip/beat.go
+++ b/coordination/gossip/beat.go
@@ -7,6 +7,7 @@
 	"gentiangauge.example/gentiangauge/state/allowance"
 	"gentiangauge.example/gentiangauge/state/mirror"
 	"gentiangauge.example/gentiangauge/state/pool"
+	"gentiangauge.example/gentiangauge/state/retry"
 	"gentiangauge.example/gentiangauge/state/route"
 	"gentiangauge.example/gentiangauge/transport/mesh"
 )
@@ -52,6 +53,8 @@
 	// ones. Left is only told while an instance has just started.
 	Spent map[pool.Tag]float64
 	Left  map[pool.Tag]allowance.Levels
+	// Sent is what the instance sent to each service, by its tag.
+	Sent map[pool.Tag]retry.Count
 	// Work is what the instance has on the upstreams.
 	Work []pool.Work
 	// Places are the adapters on the upstreams that it gives orders to.
@@ -83,6 +86,10 @@
 	Spent      []int64   `protobuf:"varint,17,rep,packed,name=spent,proto3"`
 	Left       []float64 `protobuf:"fixed64,18,rep,packed,name=left,proto3"`
 	LeftEven   []float64 `protobuf:"fixed64,25,rep,packed,name=left_even,proto3"`
+	// Requests and Retries are in the order of Services.
+	Services []uint32 `protobuf:"fixed32,26,rep,packed,name=services,proto3"`
+	Requests []int64  `protobuf:"varint,27,rep,packed,name=requests,proto3"`
+	Retries  []int64  `protobuf:"varint,28,rep,packed,name=retries,proto3"`
 	// The lists of work are in the order of WorkUpstreams.
 	WorkUpstreams []uint32        `protobuf:"fixed32,19,rep,packed,name=work_upstreams,proto3"`
 	WorkAdapters  []uint32        `protobuf:"fixed32,20,rep,packed,name=work_adapters,proto3"`
@@ -120,6 +127,10 @@
 			m.Left, m.LeftEven = append(m.Left, b.Left[w].Burst), append(m.LeftEven, b.Left[w].Even)
 		}
 	}
+	for n, x := range b.Sent {
+		m.Services = append(m.Services, uint32(n))
+		m.Requests, m.Retries = append(m.Requests, int64(x.Requests)), append(m.Retries, int64(x.Retries))
+	}
 	for _, w := range b.Work {
 		m.WorkUpstreams, m.WorkAdapters = append(m.WorkUpstreams, uint32(w.Upstream)), append(m.WorkAdapters, uint32(w.Adapter))
 		m.WorkRunning, m.WorkUnread = append(m.WorkRunning, int64(w.Running)), append(m.WorkUnread, int64(w.Unread))
@@ -151,7 +162,7 @@
 		Name: m.Name, Run: m.Run, Sequence: m.Sequence, Serving: m.Serving, Uptime: time.Duration(m.UptimeMs) * time.Millisecond,
 		Lease: mirror.Version(m.Lease), Surrendered: m.Surrendered, Loading: int(m.Loading),
 		Zone: m.Zone, StoreUnsteady: m.Unsteady, Front: m.Front, Peer: m.Peer,
-		Versions: map[pool.Tag]mirror.Version{}, Spent: map[pool.Tag]float64{},
+		Versions: map[pool.Tag]mirror.Version{}, Spent: map[pool.Tag]float64{}, Sent: map[pool.Tag]retry.Count{},
 	}
 	for i := range min(len(m.Tables), len(m.Versions)) {
 		b.Versions[pool.Tag(m.Tables[i])] = mirror.Version(m.Versions[i])
@@ -165,6 +176,9 @@
 			b.Left[pool.Tag(m.Workspaces[i])] = allowance.Levels{Burst: m.Left[i], Even: m.LeftEven[i]}
 		}
 	}
+	for i := range min(len(m.Services), len(m.Requests), len(m.Retries)) {
+		b.Sent[pool.Tag(m.Services[i])] = retry.Count{Requests: float64(m.Requests[i]), Retries: float64(m.Retries[i])}
+	}
 	for i := range min(len(m.WorkUpstreams), len(m.WorkAdapters), len(m.WorkRunning), len(m.WorkUnread), len(m.WorkTokens)) {
 		b.Work = append(b.Work, pool.Work{
 			Upstream: pool.Tag(m.WorkUpstreams[i]), Adapter: pool.Tag(m.WorkAdapters[i]),
--- a/coordination/gossip/beat_test.go
+++ b/coordination/gossip/beat_test.go
@@ -14,6 +14,7 @@
 	"gentiangauge.example/gentiangauge/state/allowance"
 	"gentiangauge.example/gentiangauge/state/mirror"
 	"gentiangauge.example/gentiangauge/state/pool"
+	"gentiangauge.example/gentiangauge/state/retry"
 	"gentiangauge.example/gentiangauge/timer"
 )
 
@@ -24,6 +25,7 @@
 		Name: "instance-12", Run: 1_764_800_000_000, Sequence: 1000, Serving: true, Zone: "zone-1", Uptime: time.Minute, Lease: 123_456,
 		Front: "10.0.0.1:80", Peer: "10.0.0.1:81", Loading: 3,
 		Versions: map[pool.Tag]mirror.Version{1: 5000, 2: 5001, 3: 50_002}, Spent: map[pool.Tag]float64{}, Left: map[pool.Tag]allowance.Levels{},
+		Sent: map[pool.Tag]retry.Count{8: {Requests: 900, Retries: 11}},
 	}
 	for i := range 16 {
 		b.Spent[pool.NewTag(fmt.Sprint("workspace-", i))] = float64(i) * 1234
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -23,6 +23,7 @@
 	"gentiangauge.example/gentiangauge/protocol/dispatch"
 	"gentiangauge.example/gentiangauge/state/mirror"
 	"gentiangauge.example/gentiangauge/state/pool"
+	"gentiangauge.example/gentiangauge/state/retry"
 	"gentiangauge.example/gentiangauge/state/route"
 	"gentiangauge.example/gentiangauge/state/timeline"
 	"gentiangauge.example/gentiangauge/timer"
@@ -124,6 +125,7 @@
 	wakes    map[string]chan struct{}
 	listings *mirror.Marks[listing]
 	owners   *owners
+	retries  *retry.Budget
 	// unsteady is the last instant at which a peer found that the store fails.
 	unsteady atomic.Int64
 }
@@ -141,7 +143,7 @@
 	}
 	e := &Entry{
 		Config: k, Adapter: a, timer: t, log: log.Named("entry"), run: time.Duration(t.Now().UnixNano()).Milliseconds(), began: t.Boot(),
-		pool: pool.New(), feeds: map[string]*feed.Feed{}, life: c, conn: conn, wakes: map[string]chan struct{}{}, listings: mirror.NewMarks[listing](), owners: newOwners(c),
+		pool: pool.New(), feeds: map[string]*feed.Feed{}, life: c, conn: conn, wakes: map[string]chan struct{}{}, listings: mirror.NewMarks[listing](), owners: newOwners(c), retries: retry.New(),
 		quota: newQuota(k.PlanWindow), versions: versions{known: map[pool.Adapter]versionState{}}, members: members{known: map[string]member{}},
 	}
 	recorder := timeline.New(k.Name, timelineEvents, t.Now)
@@ -185,6 +187,7 @@
 		Load:   e.load, Grant: e.grant, Orderable: e.orderable, Lost: e.lost, Send: e.Send, Draw: rand.Float64,
 		Ends:    func() time.Duration { return time.Duration(e.ends.Load()) },
 		Peers:   func() int { return int(e.peers.Load()) },
+		Budget:  e.retries,
 		Metrics: dispatch.NewMetrics(r),
 	})
 }
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -15,6 +15,7 @@
 	"gentiangauge.example/gentiangauge/coordination/ownership"
 	"gentiangauge.example/gentiangauge/state/mirror"
 	"gentiangauge.example/gentiangauge/state/pool"
+	"gentiangauge.example/gentiangauge/state/retry"
 	"gentiangauge.example/gentiangauge/transport/mesh"
 	"gentiangauge.example/gentiangauge/transport/store"
 )
@@ -122,7 +123,15 @@
 		e.members.set(name, member{front: m.Front, zone: m.Zone, peer: peer, version: r.Version})
 		log("member", zap.String("name", name), zap.String("peer", m.Peer), zap.Int64("run", m.Run))
 	}
-	e.quota.setMembers(e.members.count()+1, e.timer.Boot())
+	e.countMembers()
+}
+
+// countMembers tells those that share something of how many instances the fleet
+// consists.
+func (e *Entry) countMembers() {
+	n := e.members.count() + 1
+	e.quota.setMembers(n, e.timer.Boot())
+	e.retries.SetMembers(n)
 }
 
 // join writes the row that names this instance, until it is written.
@@ -157,7 +166,7 @@
 	lease, surrendered := e.ownership.Lease(now)
 	b := gossip.Beat{
 		Run: e.run, Serving: e.Ready(), Zone: e.Zone, StoreUnsteady: !e.feeds[e.Tables.Upstreams].Steady(), Uptime: now - e.began, Lease: lease, Surrendered: surrendered,
-		Work: e.pool.OwnWork(), Loading: e.orders.Own(), Versions: map[pool.Tag]mirror.Version{},
+		Work: e.pool.OwnWork(), Sent: e.retries.Counts(), Loading: e.orders.Own(), Versions: map[pool.Tag]mirror.Version{},
 	}
 	if b.Uptime < introduceTime {
 		b.Front, b.Peer = e.FrontAddress, e.PeerAddress
@@ -204,6 +213,7 @@
 	e.wakeFollowers(b)
 	e.pool.SetPeer(b.Name, b.Work)
 	e.quota.heard(b, now-e.began, now)
+	e.retries.Heard(retry.Instance{Name: b.Name, Run: b.Run}, b.Sent)
 	for _, p := range b.Places {
 		e.heardPlaces(b.Name, p, now)
 	}
@@ -224,7 +234,7 @@
 		return
 	}
 	e.members.set(b.Name, member{front: b.Front, zone: b.Zone, peer: peer})
-	e.quota.setMembers(e.members.count()+1, e.timer.Boot())
+	e.countMembers()
 	e.log.Debug("member heard", zap.String("name", b.Name), zap.String("peer", b.Peer), zap.Int64("run", b.Run))
 }
 
@@ -253,6 +263,7 @@
 	for _, p := range e.gossip.Silent(now, forgetMember) {
 		e.pool.SetPeer(p.Name, nil)
 		if m, ok := e.members.get(p.Name); ok && now-p.At > forgetMember {
+			e.retries.Forget(p.Name)
 			e.expel(c, p.Name, m)
 		}
 	}
--- a/protocol/dispatch/admit.go
+++ b/protocol/dispatch/admit.go
@@ -83,7 +83,7 @@
 }
 
 func (d *Dispatcher) takeUnits(j *job) error {
-	d.budget.earn(string(j.service.Name), d.Peers()+1)
+	d.Budget.Earn(j.serviceTag())
 	if j.workspace == nil {
 		return nil
 	}
--- a/protocol/dispatch/attempt.go
+++ b/protocol/dispatch/attempt.go
@@ -67,7 +67,7 @@
 	if j.runs > 0 && (!j.route.Repeatable() || j.runs >= max(1, j.route.MaxAttempts)) {
 		return false
 	}
-	return d.budget.spend(string(j.service.Name))
+	return d.Budget.Spend(j.serviceTag())
 }
 
 // final returns what the caller gets when no upstream answered.
@@ -353,7 +353,7 @@
 		d.Pool.Note(id, pool.Failed, now)
 		if j.route.Repeatable() && j.runs < j.route.MaxAttempts && !j.first {
 			j.avoid[id] = true
-			if d.budget.has(string(j.service.Name)) {
+			if d.Budget.Left(j.serviceTag()) {
 				return eris.Wrapf(errNext, "the upstream failed, status %d", a.Status)
 			}
 		}
--- a/protocol/dispatch/dispatch.go
+++ b/protocol/dispatch/dispatch.go
@@ -18,6 +18,7 @@
 
 	"gentiangauge.example/gentiangauge/refusal"
 	"gentiangauge.example/gentiangauge/state/pool"
+	"gentiangauge.example/gentiangauge/state/retry"
 	"gentiangauge.example/gentiangauge/state/route"
 	"gentiangauge.example/gentiangauge/timer"
 )
@@ -113,6 +114,8 @@
 	Peers func() int
 	// Draw returns a random number from 0 up to, not including, 1.
 	Draw func() float64
+	// Budget bounds the sends beyond the first of each request.
+	Budget *retry.Budget
 	// Metrics count the outcomes.
 	Metrics *Metrics
 }
@@ -132,13 +135,12 @@
 type Dispatcher struct {
 	Services
 	settings atomic.Pointer[Settings]
-	budget   *budget
 }
 
 // New returns a dispatcher.
 func New(s Settings, v Services) *Dispatcher {
 	v.Log = v.Log.Named("dispatch")
-	d := &Dispatcher{Services: v, budget: newBudget()}
+	d := &Dispatcher{Services: v}
 	d.Reload(s)
 	return d
 }
@@ -146,7 +148,7 @@
 // Reload changes the settings for the requests that come from now on.
 func (d *Dispatcher) Reload(s Settings) {
 	d.settings.Store(&s)
-	d.budget.set(s.RetryRatio, s.RetryBurst)
+	d.Budget.Set(s.RetryRatio, s.RetryBurst)
 }
 
 // job is a request with what was decided about it.
@@ -171,6 +173,11 @@
 	choice    pool.Choice
 }
 
+// serviceTag stands for the service in the budget of retries.
+func (j *job) serviceTag() pool.Tag {
+	return pool.NewTag(string(j.service.Name))
+}
+
 // Serve answers a request. The error is the refusal to render, or ErrBroken
 // when a part of an answer was written that cannot be finished.
 func (d *Dispatcher) Serve(c context.Context, w http.ResponseWriter, q *Request) error {
--- a/protocol/dispatch/dispatch_test.go
+++ b/protocol/dispatch/dispatch_test.go
@@ -18,6 +18,7 @@
 	"gentiangauge.example/gentiangauge/protocol/dispatch"
 	"gentiangauge.example/gentiangauge/refusal"
 	"gentiangauge.example/gentiangauge/state/pool"
+	"gentiangauge.example/gentiangauge/state/retry"
 	"gentiangauge.example/gentiangauge/state/route"
 	"gentiangauge.example/gentiangauge/timer"
 	"gentiangauge.example/gentiangauge/transport/relay"
@@ -80,6 +81,7 @@
 			return b.grant(id)
 		},
 		Lost: func(pool.ID, pool.Adapter) {}, Send: b.send, Peers: func() int { return 0 }, Ends: func() time.Duration { return b.ends }, Draw: func() float64 { return 0.5 },
+		Budget:  retry.New(),
 		Metrics: dispatch.NewMetrics(prometheus.NewRegistry()),
 	})
 	return b
