usage: an instance reports its requests to the owners of the engines

Cause: an instance told everyone of its requests; at 195 instances four fifths of that news was 1.5 s old on average, so that many chose the same engine.

Change: an instance reports what it has on an engine to the engine's owner alone, within 0.1 s of a change, and counts a request from its choice on. Owners tell in their beats, and to each that asks for an adapter, of all work on the engine; if its first event is later than predicted by 0.1 s another one is looked for, once. Work on upstreams without a living owner is told in beats as before.

--- a/coordination/gossip/beat.go
+++ b/coordination/gossip/beat.go
@@ -23,6 +23,10 @@
 	// tell them; RecentTold is set in these.
 	Recent     map[pool.Tag]bool
 	RecentTold bool
+	// Busy is the work on the upstream of all instances, and Running the running
+	// requests by adapter.
+	Busy    pool.Use
+	Running map[pool.Tag]int
 }
 
 // Beat is what an instance tells the others of itself.
@@ -55,7 +59,8 @@
 	Left  map[pool.Tag]allowance.Levels
 	// Sent is what the instance sent to each service, by its tag.
 	Sent map[pool.Tag]retry.Count
-	// Work is what the instance has on the upstreams.
+	// Work is what the instance has on upstreams that take no orders. That on
+	// others is reported to their owners.
 	Work []pool.Work
 	// Places are the adapters on the upstreams that it gives orders to.
 	Places []Places
@@ -90,6 +95,8 @@
 	Services []uint32 `protobuf:"fixed32,26,rep,packed,name=services,proto3"`
 	Requests []int64  `protobuf:"varint,27,rep,packed,name=requests,proto3"`
 	Retries  []int64  `protobuf:"varint,28,rep,packed,name=retries,proto3"`
+	// Report is set in a report of work, which has nothing else.
+	Report bool `protobuf:"varint,29,opt,name=report,proto3"`
 	// The lists of work are in the order of WorkUpstreams.
 	WorkUpstreams []uint32        `protobuf:"fixed32,19,rep,packed,name=work_upstreams,proto3"`
 	WorkAdapters  []uint32        `protobuf:"fixed32,20,rep,packed,name=work_adapters,proto3"`
@@ -110,6 +117,11 @@
 	ReadyInMs  []int64  `protobuf:"varint,5,rep,packed,name=ready_in_ms,proto3"`
 	Recent     []uint32 `protobuf:"fixed32,6,rep,packed,name=recent,proto3"`
 	RecentTold bool     `protobuf:"varint,7,opt,name=recent_told,proto3"`
+	BusyUnread int64    `protobuf:"varint,8,opt,name=busy_unread,proto3"`
+	BusyTokens int64    `protobuf:"varint,9,opt,name=busy_tokens,proto3"`
+	// Running is in the order of Adapters; Other is the rest.
+	Running []int64 `protobuf:"varint,10,rep,packed,name=running,proto3"`
+	Other   int64   `protobuf:"varint,11,opt,name=other,proto3"`
 }
 
 func (b Beat) message() *beatMessage {
@@ -143,11 +155,16 @@
 }
 
 func (p Places) message() *placeMessage {
-	m := &placeMessage{Upstream: uint32(p.Upstream), Claim: int64(p.Claim), RecentTold: p.RecentTold}
+	m := &placeMessage{
+		Upstream: uint32(p.Upstream), Claim: int64(p.Claim), RecentTold: p.RecentTold,
+		BusyUnread: int64(p.Busy.Unread), BusyTokens: int64(p.Busy.Tokens), Other: int64(p.Busy.Running),
+	}
 	for a, h := range p.Held {
 		m.Adapters = append(m.Adapters, uint32(a))
 		m.Versions = append(m.Versions, int64(h.Version))
 		m.ReadyInMs = append(m.ReadyInMs, h.ReadyAt.Milliseconds())
+		m.Running = append(m.Running, int64(p.Running[a]))
+		m.Other -= int64(p.Running[a])
 	}
 	if p.RecentTold {
 		for a := range p.Recent {
@@ -194,7 +211,14 @@
 func (m *placeMessage) places() Places {
 	p := Places{
 		Upstream: pool.Tag(m.Upstream), Claim: mirror.Version(m.Claim), RecentTold: m.RecentTold,
-		Held: map[pool.Tag]pool.Held{},
+		Held: map[pool.Tag]pool.Held{}, Running: map[pool.Tag]int{},
+		Busy: pool.Use{Running: int(m.Other), Unread: int(m.BusyUnread), Tokens: int(m.BusyTokens)},
+	}
+	for i := range min(len(m.Adapters), len(m.Running)) {
+		p.Busy.Running += int(m.Running[i])
+		if m.Running[i] > 0 {
+			p.Running[pool.Tag(m.Adapters[i])] = int(m.Running[i])
+		}
 	}
 	for i := range min(len(m.Adapters), len(m.Versions), len(m.ReadyInMs)) {
 		p.Held[pool.Tag(m.Adapters[i])] = pool.Held{
--- a/coordination/gossip/beat_test.go
+++ b/coordination/gossip/beat_test.go
@@ -39,6 +39,7 @@
 	for i := range 2 {
 		p := gossip.Places{
 			Upstream: pool.NewTag(fmt.Sprint("upstream-", i)), Claim: 77, Held: map[pool.Tag]pool.Held{}, Recent: map[pool.Tag]bool{}, RecentTold: true,
+			Busy: pool.Use{Running: 5, Unread: 1800, Tokens: 9000}, Running: map[pool.Tag]int{pool.NewTag("held-1"): 2, pool.NewTag("held-4"): 1},
 		}
 		for j := range 6 {
 			p.Held[pool.NewTag(fmt.Sprint("held-", j))] = pool.Held{Version: 2, ReadyAt: time.Duration(j) * time.Millisecond}
--- a/coordination/gossip/gossip.go
+++ b/coordination/gossip/gossip.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"gentiangauge.example/gentiangauge/state/mirror"
+	"gentiangauge.example/gentiangauge/state/pool"
 	"gentiangauge.example/gentiangauge/timer"
 	"gentiangauge.example/gentiangauge/transport/mesh"
 )
@@ -53,12 +54,27 @@
 	LeaseSeen time.Duration
 }
 
+// Report is what an instance has on the upstreams of one owner, told to it alone.
+type Report struct {
+	Name     string
+	Run      int64
+	Sequence int64
+	Work     []pool.Work
+}
+
+// mark tells the newest report of an instance.
+type mark struct {
+	run, sequence int64
+}
+
 // Gossip sends the beats of this instance and keeps the newest of others.
 type Gossip struct {
 	// Compose returns the beat to send.
 	Compose func() Beat
 	// Heard is called with each new beat of another instance.
 	Heard func(b Beat)
+	// Reported is called with each new report of another instance.
+	Reported func(r Report)
 	// Addresses returns where the other instances listen: those that are told
 	// with each beat, and those, in other availability zones, that are told
 	// with some only.
@@ -72,12 +88,14 @@
 	conn  *net.UDPConn
 	mu    sync.Mutex
 	peers map[string]*Peer
-	seq   int64
+	// reports are the newest report of each instance.
+	reports map[string]mark
+	seq     int64
 }
 
 // New returns a gossip of the instance with a name on a socket.
 func New(name string, conn *net.UDPConn, t *timer.Service, log *zap.Logger) *Gossip {
-	return &Gossip{name: name, conn: conn, timer: t, log: log.Named("gossip"), peers: map[string]*Peer{}}
+	return &Gossip{name: name, conn: conn, timer: t, log: log.Named("gossip"), peers: map[string]*Peer{}, reports: map[string]mark{}}
 }
 
 // Run sends and receives beats until c ends.
@@ -179,13 +197,44 @@
 			}
 			continue
 		}
-		b, err := decode(buf[:n])
-		if err != nil {
-			g.log.Warn("beat cannot be read", zap.Error(err))
-			continue
-		}
+		g.read(buf[:n])
+	}
+}
+
+// read takes over a datagram: a beat or a report.
+func (g *Gossip) read(data []byte) {
+	var m beatMessage
+	if err := mesh.Unmarshal(data, &m); err != nil {
+		g.log.Warn("datagram cannot be read", zap.Error(err))
+		return
+	}
+	b := m.beat()
+	if !m.Report {
 		g.Take(b)
+		return
 	}
+	g.mu.Lock()
+	old, now := g.reports[b.Name], mark{run: b.Run, sequence: b.Sequence}
+	late := old.run > now.run || old.run == now.run && old.sequence >= now.sequence
+	if !late {
+		g.reports[b.Name] = now
+	}
+	g.mu.Unlock()
+	if !late && g.Reported != nil {
+		g.Reported(Report{Name: b.Name, Run: b.Run, Sequence: b.Sequence, Work: b.Work})
+	}
+}
+
+// SendReport tells one instance what this one has on its upstreams.
+func (g *Gossip) SendReport(r Report, to netip.AddrPort) {
+	m := Beat{Name: g.name, Run: r.Run, Sequence: r.Sequence, Work: r.Work}.message()
+	m.Report = true
+	data, err := mesh.Marshal(m)
+	if err != nil {
+		g.log.Error("report cannot be encoded", zap.Error(err))
+		return
+	}
+	g.send(data, to)
 }
 
 // Take notes a beat, unless it is older than one that was heard.
@@ -235,13 +284,6 @@
 	return g.silence(false), g.silence(true)
 }
 
-// Age returns the longest time between two beats of a peer.
-func (g *Gossip) Age() time.Duration {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.between() * time.Duration(g.farEvery())
-}
-
 // Live returns the peers that are not silent. They must not be changed.
 func (g *Gossip) Live(now time.Duration) []*Peer {
 	g.mu.Lock()
@@ -277,14 +319,6 @@
 	return mesh.Marshal(b.message())
 }
 
-func decode(data []byte) (Beat, error) {
-	var m beatMessage
-	if err := mesh.Unmarshal(data, &m); err != nil {
-		return Beat{}, err
-	}
-	return m.beat(), nil
-}
-
 // Leased notes the version of an instance's lease as the store has it at the
 // instant given. An instance that was not heard does not count as live.
 func (g *Gossip) Leased(name string, v mirror.Version, now time.Duration) {
--- a/coordination/orders/orders.go
+++ b/coordination/orders/orders.go
@@ -111,7 +111,7 @@
 //
 // Load pattern: what the instances know of the adapters on an engine is older
 // than the time for which many of them stay there.
-func (o *Orders) Grant(id pool.ID, a pool.Adapter, v route.Version) (time.Duration, error) {
+func (o *Orders) Grant(_ context.Context, id pool.ID, a pool.Adapter, v route.Version) (time.Duration, error) {
 	now := o.Timer.Boot()
 	if _, err := o.Ownership.Token(id, now); err != nil {
 		return 0, err
--- a/coordination/orders/orders_test.go
+++ b/coordination/orders/orders_test.go
@@ -324,7 +324,7 @@
 		b.pass(time.Second)
 	}
 	// The first one was used longest ago.
-	if _, err := b.orders.Grant("e0", adapter(0), 1); err != nil {
+	if _, err := b.orders.Grant(t.Context(), "e0", adapter(0), 1); err != nil {
 		t.Fatal(err)
 	}
 	if _, err := b.load(slots); err != nil {
@@ -333,10 +333,10 @@
 	if _, ok := b.places[adapter(0)]; !ok {
 		t.Error("the granted adapter was evicted")
 	}
-	if _, err := b.orders.Grant("e0", adapter(1), 1); !errors.Is(err, orders.ErrAbsent) {
+	if _, err := b.orders.Grant(t.Context(), "e0", adapter(1), 1); !errors.Is(err, orders.ErrAbsent) {
 		t.Errorf("the evicted adapter is granted: %v", err)
 	}
-	if _, err := b.orders.Grant("e0", adapter(0), 2); !errors.Is(err, orders.ErrAbsent) {
+	if _, err := b.orders.Grant(t.Context(), "e0", adapter(0), 2); !errors.Is(err, orders.ErrAbsent) {
 		t.Errorf("a newer version is granted: %v", err)
 	}
 }
@@ -347,7 +347,7 @@
 		t.Fatal(err)
 	}
 	b.owner.Leave()
-	if _, err := b.orders.Grant("e0", adapter(1), 1); !errors.Is(err, ownership.ErrNotOwner) {
+	if _, err := b.orders.Grant(t.Context(), "e0", adapter(1), 1); !errors.Is(err, ownership.ErrNotOwner) {
 		t.Errorf("granted by an instance that leaves: %v", err)
 	}
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -26,6 +26,7 @@
 	"gentiangauge.example/gentiangauge/state/retry"
 	"gentiangauge.example/gentiangauge/state/route"
 	"gentiangauge.example/gentiangauge/state/timeline"
+	"gentiangauge.example/gentiangauge/state/usage"
 	"gentiangauge.example/gentiangauge/timer"
 	"gentiangauge.example/gentiangauge/transport/mesh"
 	"gentiangauge.example/gentiangauge/transport/store"
@@ -126,6 +127,7 @@
 	listings *mirror.Marks[listing]
 	owners   *owners
 	retries  *retry.Budget
+	reporter *usage.Reports
 	// unsteady is the last instant at which a peer found that the store fails.
 	unsteady atomic.Int64
 }
@@ -143,13 +145,13 @@
 	}
 	e := &Entry{
 		Config: k, Adapter: a, timer: t, log: log.Named("entry"), run: time.Duration(t.Now().UnixNano()).Milliseconds(), began: t.Boot(),
-		pool: pool.New(), feeds: map[string]*feed.Feed{}, life: c, conn: conn, wakes: map[string]chan struct{}{}, listings: mirror.NewMarks[listing](), owners: newOwners(c), retries: retry.New(),
+		pool: pool.New(), feeds: map[string]*feed.Feed{}, life: c, conn: conn, wakes: map[string]chan struct{}{}, listings: mirror.NewMarks[listing](), owners: newOwners(c), retries: retry.New(), reporter: usage.New(),
 		quota: newQuota(k.PlanWindow), versions: versions{known: map[pool.Adapter]versionState{}}, members: members{known: map[string]member{}},
 	}
 	recorder := timeline.New(k.Name, timelineEvents, t.Now)
 	e.mesh = mesh.New(k.PeerAddress, mesh.Clock{Tick: recorder.Tick, Observe: recorder.Observe})
 	e.gossip = gossip.New(k.Name, conn, t, log)
-	e.gossip.Compose, e.gossip.Heard, e.gossip.Addresses, e.gossip.Zone = e.compose, e.heard, e.addresses, k.Zone
+	e.gossip.Compose, e.gossip.Heard, e.gossip.Addresses, e.gossip.Zone, e.gossip.Reported = e.compose, e.heard, e.addresses, k.Zone, e.reported
 	e.versionGrace.Store(int64(k.VersionGrace))
 	e.newFeeds(log)
 	e.newDuties(r, log)
@@ -178,7 +180,7 @@
 	})
 	e.orders = orders.New(e.life, e.Timing, orders.Services{
 		Engines: e.Engines, Timer: e.timer, Pool: e.pool, Ownership: e.ownership, Log: log,
-		Engine: e.engine, Loading: e.loading, Age: e.gossip.Age,
+		Engine: e.engine, Loading: e.loading, Age: func() time.Duration { return 2 * usage.Interval },
 	})
 	e.Dispatcher = dispatch.New(e.Config.Dispatch, dispatch.Services{
 		Timer: e.timer, Pool: e.pool, Log: log, Table: e.table.Load, Versions: e.adapterVersions,
@@ -207,6 +209,7 @@
 	go e.gossip.Run(c)
 	go e.ownership.Run(c)
 	go e.orders.Run(c)
+	go e.timer.Subscribe(c, usage.Interval, func(time.Time) { e.report() })
 	go e.timer.Subscribe(c, houseInterval, func(time.Time) { e.keepHouse(c) })
 	e.join(c)
 	select {
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -166,7 +166,7 @@
 	lease, surrendered := e.ownership.Lease(now)
 	b := gossip.Beat{
 		Run: e.run, Serving: e.Ready(), Zone: e.Zone, StoreUnsteady: !e.feeds[e.Tables.Upstreams].Steady(), Uptime: now - e.began, Lease: lease, Surrendered: surrendered,
-		Work: e.pool.OwnWork(), Sent: e.retries.Counts(), Loading: e.orders.Own(), Versions: map[pool.Tag]mirror.Version{},
+		Work: e.unowned(), Sent: e.retries.Counts(), Loading: e.orders.Own(), Versions: map[pool.Tag]mirror.Version{},
 	}
 	if b.Uptime < introduceTime {
 		b.Front, b.Peer = e.FrontAddress, e.PeerAddress
@@ -180,12 +180,14 @@
 		b.Versions[pool.NewTag(t)] = e.version(t)
 	}
 	for id, k := range e.ownership.Owned(now) {
+		e.pool.ForgetOthers(id)
 		held, recent := e.pool.Held(id)
+		busy, running := e.pool.Total(id, now)
 		for a, h := range held {
 			h.ReadyAt = max(0, h.ReadyAt-now)
 			held[a] = h
 		}
-		b.Places = append(b.Places, gossip.Places{Upstream: id.Tag(), Claim: mirror.Version(k), Held: held, Recent: recent})
+		b.Places = append(b.Places, gossip.Places{Upstream: id.Tag(), Claim: mirror.Version(k), Held: held, Recent: recent, Busy: busy, Running: running})
 	}
 	return b
 }
@@ -254,12 +256,16 @@
 		_, p.Recent = e.pool.Held(id)
 	}
 	e.pool.SetHeld(id, p.Held, p.Recent)
+	e.pool.SetOthers(id, p.Busy, e.reporter.Told(owner, p.Upstream), p.Running, now)
 }
 
 // keepHouse forgets what is gone and reads what the store did not tell.
 func (e *Entry) keepHouse(c context.Context) {
 	now := e.timer.Boot()
 	e.pool.Sweep(now)
+	for _, n := range e.reporter.Expired(now) {
+		e.pool.SetPeer(reportKey(n), nil)
+	}
 	for _, p := range e.gossip.Silent(now, forgetMember) {
 		e.pool.SetPeer(p.Name, nil)
 		if m, ok := e.members.get(p.Name); ok && now-p.At > forgetMember {
--- a/entry/owners.go
+++ b/entry/owners.go
@@ -74,8 +74,8 @@
 	return f.calls > 1
 }
 
-// callOwner asks the owner of an engine about an adapter. Held is set for one
-// that is known to be there.
+// callOwner asks the owner of an engine about an adapter, and takes over what it
+// tells of the work there. Held is set for one that is known to be there.
 func (e *Entry) callOwner(c context.Context, owner string, held bool, q *loadQuery) (time.Duration, error) {
 	m, ok := e.members.get(owner)
 	if !ok {
@@ -105,15 +105,21 @@
 	case r.Absent:
 		return 0, orders.ErrAbsent
 	}
+	e.reporter.Asked(owner)
+	id := pool.ID(q.Upstream)
+	e.pool.SetOthers(id, r.busy(), e.pool.Own(id), nil, e.timer.Boot())
 	return time.Duration(r.ReadyInMs) * time.Millisecond, nil
 }
 
-func newLoadQuery(id pool.ID, a pool.Adapter, v route.Version) *loadQuery {
-	return &loadQuery{Upstream: string(id), Model: string(a.Model), Adapter: string(a.Name), Version: int64(v)}
+func (e *Entry) newLoadQuery(id pool.ID, a pool.Adapter, v route.Version, u pool.Use) *loadQuery {
+	return &loadQuery{
+		Upstream: string(id), Model: string(a.Model), Adapter: string(a.Name), Version: int64(v),
+		From: e.Name, Unread: int64(u.Unread), Tokens: int64(u.Tokens),
+	}
 }
 
 // load has the owner of an engine load an adapter.
-func (e *Entry) load(c context.Context, id pool.ID, a pool.Adapter, v route.Version) (time.Duration, error) {
+func (e *Entry) load(c context.Context, id pool.ID, a pool.Adapter, v route.Version, u pool.Use) (time.Duration, error) {
 	owner, ok := e.ownership.Owner(id)
 	switch {
 	case !ok:
@@ -121,22 +127,22 @@
 	case owner == e.Name:
 		return e.orders.Load(c, id, a, v)
 	default:
-		return e.callOwner(c, owner, false, newLoadQuery(id, a, v))
+		return e.callOwner(c, owner, false, e.newLoadQuery(id, a, v, u))
 	}
 }
 
 // grant has the owner of an engine keep an adapter for a request.
-func (e *Entry) grant(c context.Context, id pool.ID, a pool.Adapter, v route.Version) (time.Duration, error) {
+func (e *Entry) grant(c context.Context, id pool.ID, a pool.Adapter, v route.Version, u pool.Use) (time.Duration, error) {
 	owner, ok := e.ownership.Owner(id)
 	switch {
 	case !ok:
 		return 0, ownership.ErrNotOwner
 	case owner == e.Name:
-		return e.orders.Grant(id, a, v)
+		return e.orders.Grant(c, id, a, v)
 	case e.owners.avoids(owner, e.timer.Boot()):
 		return 0, orders.ErrUnsure
 	default:
-		return e.callOwner(c, owner, true, newLoadQuery(id, a, v))
+		return e.callOwner(c, owner, true, e.newLoadQuery(id, a, v, u))
 	}
 }
 
@@ -158,7 +164,7 @@
 	told := e.owners.teller.Tell(func(*struct{}) {
 		x, cancel := context.WithTimeout(e.life, grantCallTime)
 		defer cancel()
-		if _, err := mesh.Call[loadQuery, loadReply](x, e.mesh, m.peer.String(), lostMethod, newLoadQuery(id, a, 0)); err != nil {
+		if _, err := mesh.Call[loadQuery, loadReply](x, e.mesh, m.peer.String(), lostMethod, e.newLoadQuery(id, a, 0, pool.Use{})); err != nil {
 			e.log.Info("owner is not told of a missing adapter", zap.String("upstream", string(id)), zap.String("owner", owner), zap.Error(err))
 		}
 	})
@@ -176,6 +182,10 @@
 	Adapter  string `protobuf:"bytes,3,opt,name=adapter,proto3"`
 	Version  int64  `protobuf:"varint,4,opt,name=version,proto3"`
 	Held     bool   `protobuf:"varint,5,opt,name=held,proto3"`
+	// From is the instance that asks, Unread and Tokens are those of its request.
+	From   string `protobuf:"bytes,6,opt,name=from,proto3"`
+	Unread int64  `protobuf:"varint,7,opt,name=unread,proto3"`
+	Tokens int64  `protobuf:"varint,8,opt,name=tokens,proto3"`
 }
 
 func (q *loadQuery) adapter() pool.Adapter {
@@ -188,6 +198,14 @@
 	StoreBusy bool  `protobuf:"varint,2,opt,name=store_busy,proto3"`
 	Full      bool  `protobuf:"varint,3,opt,name=full,proto3"`
 	Absent    bool  `protobuf:"varint,4,opt,name=absent,proto3"`
+	// The work on the engine of all instances, before the request.
+	Running int64 `protobuf:"varint,5,opt,name=running,proto3"`
+	Unread  int64 `protobuf:"varint,6,opt,name=unread,proto3"`
+	Tokens  int64 `protobuf:"varint,7,opt,name=tokens,proto3"`
+}
+
+func (r *loadReply) busy() pool.Use {
+	return pool.Use{Running: int(r.Running), Unread: int(r.Unread), Tokens: int(r.Tokens)}
 }
 
 func newLoadReply(ready time.Duration, err error) (*loadReply, error) {
@@ -205,10 +223,19 @@
 // serveOrders registers what other instances may ask the owner of an engine.
 func (e *Entry) serveOrders() {
 	mesh.Handle(e.mesh, loadMethod, func(c context.Context, _ string, q *loadQuery) (*loadReply, error) {
+		ask := e.orders.Load
 		if q.Held {
-			return newLoadReply(e.orders.Grant(pool.ID(q.Upstream), q.adapter(), route.Version(q.Version)))
+			ask = e.orders.Grant
+		}
+		ready, err := ask(c, pool.ID(q.Upstream), q.adapter(), route.Version(q.Version))
+		r, err := newLoadReply(ready, err)
+		if err != nil || r.StoreBusy || r.Full || r.Absent {
+			return r, err
 		}
-		return newLoadReply(e.orders.Load(c, pool.ID(q.Upstream), q.adapter(), route.Version(q.Version)))
+		u, _ := e.pool.Total(pool.ID(q.Upstream), e.timer.Boot())
+		r.Running, r.Unread, r.Tokens = int64(u.Running), int64(u.Unread), int64(u.Tokens)
+		e.expect(q)
+		return r, nil
 	})
 	mesh.Handle(e.mesh, lostMethod, func(_ context.Context, _ string, q *loadQuery) (*loadReply, error) {
 		e.orders.Lost(pool.ID(q.Upstream), q.adapter())
--- a/protocol/dispatch/attempt.go
+++ b/protocol/dispatch/attempt.go
@@ -48,6 +48,7 @@
 		}
 		j.choice = h
 		err = d.send(c, w, j)
+		d.end(j, h.ID)
 		if err == nil || errors.Is(err, ErrCut) {
 			return err
 		}
@@ -93,17 +94,32 @@
 	return x
 }
 
-// place chooses an upstream and has the adapter loaded if it must be. It
-// looks again while the caller can still be answered.
+// reconsider is how much later than predicted the first event may be by what the
+// owner of the engine tells, before another engine is looked for.
+const reconsider = 100 * time.Millisecond
+
+// begin counts the request on an upstream, until end.
+func (d *Dispatcher) begin(j *job, id pool.ID) {
+	j.use = pool.Use{Running: 1, Unread: j.PromptTokens, Tokens: j.tokens}
+	d.Pool.Begin(id, j.Adapter, j.use)
+}
+
+func (d *Dispatcher) end(j *job, id pool.ID) {
+	d.Pool.End(id, j.Adapter, j.use)
+}
+
+// place chooses an upstream, has the adapter loaded if it must be, and counts the
+// request there. It looks again while the caller can still be answered.
 func (d *Dispatcher) place(c context.Context, j *job) (pool.Choice, error) {
-	tried := map[pool.ID]bool{}
+	tried, asked := map[pool.ID]bool{}, map[pool.ID]bool{}
 	by := j.placeBy(d.Timer.Boot())
 	for {
 		now := d.Timer.Boot()
 		if c.Err() != nil || now >= by {
 			return pool.Choice{}, refusal.Later(refusal.Overloaded, shortRetry, "no upstream had room in time")
 		}
-		h, ok := d.Pool.Choose(d.ask(j, tried, now), now)
+		q := d.ask(j, tried, now)
+		h, ok := d.Pool.Choose(q, now)
 		if !ok {
 			if len(tried) == 0 && len(j.avoid) == 0 && !d.Pool.Serves(j.service.Name, now) {
 				return h, refusal.Later(refusal.NoUpstream, shortRetry, "no upstream of the service is known")
@@ -117,17 +133,25 @@
 			return h, late
 		}
 		if !h.Load {
-			ready, held := d.granted(c, j, h)
-			if !held {
-				continue
+			if !asked[h.ID] {
+				ready, held := d.granted(c, j, h)
+				first := len(asked) == 0
+				asked[h.ID] = true
+				if !held || first && d.Pool.Predict(h.ID, q, now) > h.First+reconsider {
+					continue
+				}
+				h.ReadyIn = ready
 			}
-			return h, d.await(c, j, h.ID, ready)
+			d.begin(j, h.ID)
+			return h, d.await(c, j, h.ID, h.ReadyIn)
 		}
-		ready, err := d.Load(c, h.ID, j.Adapter, h.Version)
+		d.begin(j, h.ID)
+		ready, err := d.Load(c, h.ID, j.Adapter, h.Version, j.use)
 		if err == nil {
 			d.Pool.Coming(h.ID, j.Adapter, pool.Held{Version: h.Version, ReadyAt: d.Timer.Boot() + ready})
 			return h, d.await(c, j, h.ID, ready)
 		}
+		d.end(j, h.ID)
 		d.Log.Info("load refused", zap.String("request", j.ID), zap.String("upstream", string(h.ID)), zap.Error(err))
 		tried[h.ID] = true
 		d.postpone(h.ID, err)
@@ -157,13 +181,16 @@
 
 // granted asks the owner of an engine for an adapter that is known to be there.
 // It returns the time until it is ready, and false if it is not there any more.
-// If the owner cannot be asked, what is known holds.
+// If the owner cannot be asked, what is known holds; so does what an engine has
+// just said itself of a load that takes longer than its owner expects.
 func (d *Dispatcher) granted(c context.Context, j *job, h pool.Choice) (time.Duration, bool) {
 	if j.service.Engine == nil || j.Adapter.Name == "" {
 		return h.ReadyIn, true
 	}
-	ready, err := d.Grant(c, h.ID, j.Adapter, h.Version)
+	ready, err := d.Grant(c, h.ID, j.Adapter, h.Version, pool.Use{Running: 1, Unread: j.PromptTokens, Tokens: j.tokens})
 	switch {
+	case err == nil && j.moved > 0:
+		return max(ready, h.ReadyIn), true
 	case err == nil:
 		return ready, true
 	case errors.Is(err, orders.ErrAbsent):
@@ -192,6 +219,7 @@
 func (d *Dispatcher) await(c context.Context, j *job, id pool.ID, t time.Duration) error {
 	for t > 0 {
 		if err := d.Timer.Wait(c, t); err != nil {
+			d.end(j, id)
 			return refusal.Later(refusal.Overloaded, shortRetry, "the adapter was not ready in time")
 		}
 		t, _ = d.Pool.ReadyIn(id, j.Adapter, d.Timer.Boot())
@@ -222,9 +250,6 @@
 // send sends the request to the chosen upstream and passes its answer on.
 func (d *Dispatcher) send(c context.Context, w http.ResponseWriter, j *job) error {
 	id := j.choice.ID
-	u := pool.Use{Running: 1, Unread: j.PromptTokens, Tokens: j.tokens}
-	d.Pool.Begin(id, j.Adapter, u)
-	defer func() { d.Pool.End(id, j.Adapter, u) }()
 	x, cancel := context.WithCancel(c)
 	defer cancel()
 	answering := d.guard(x, j, cancel)
@@ -246,8 +271,8 @@
 		return err
 	}
 	read := func() {
-		d.Pool.End(id, j.Adapter, pool.Use{Unread: u.Unread})
-		u.Unread = 0
+		d.Pool.End(id, j.Adapter, pool.Use{Unread: j.use.Unread})
+		j.use.Unread = 0
 	}
 	err = d.pass(c, w, j, a, func() bool {
 		if !answering() {
--- a/protocol/dispatch/dispatch.go
+++ b/protocol/dispatch/dispatch.go
@@ -95,13 +95,13 @@
 	Take func(w *route.Workspace, units float64) error
 	// Return gives units back.
 	Return func(w *route.Workspace, units float64)
-	// Load has the owner of an engine load an adapter, and returns the time
-	// until it is ready.
-	Load func(c context.Context, id pool.ID, a pool.Adapter, v route.Version) (time.Duration, error)
+	// Load has the owner of an engine load an adapter for a request that is
+	// counted with some use, and returns the time until it is ready.
+	Load func(c context.Context, id pool.ID, a pool.Adapter, v route.Version, u pool.Use) (time.Duration, error)
 	// Grant has the owner of an engine keep an adapter for a request on its way,
 	// and returns the time until it is ready. It fails with orders.ErrAbsent if
 	// the engine does not hold it; other errors say that the owner cannot tell.
-	Grant func(c context.Context, id pool.ID, a pool.Adapter, v route.Version) (time.Duration, error)
+	Grant func(c context.Context, id pool.ID, a pool.Adapter, v route.Version, u pool.Use) (time.Duration, error)
 	// Orderable reports whether an engine has an owner that gives orders.
 	Orderable func(id pool.ID) bool
 	// Lost notes that an engine lacks an adapter that it was said to hold.
@@ -171,6 +171,8 @@
 	first     bool
 	lastEvent string
 	choice    pool.Choice
+	// use is what the request is counted with on the chosen upstream.
+	use pool.Use
 }
 
 // serviceTag stands for the service in the budget of retries.
--- a/protocol/dispatch/dispatch_test.go
+++ b/protocol/dispatch/dispatch_test.go
@@ -74,10 +74,10 @@
 		Versions: func(pool.Adapter, time.Duration) (newest, oldest route.Version) { return 0, 0 },
 		Take:     func(_ *route.Workspace, n float64) error { b.given += n; return nil },
 		Return:   func(_ *route.Workspace, n float64) { b.given -= n },
-		Load: func(context.Context, pool.ID, pool.Adapter, route.Version) (time.Duration, error) {
+		Load: func(context.Context, pool.ID, pool.Adapter, route.Version, pool.Use) (time.Duration, error) {
 			return b.load()
 		},
-		Grant: func(_ context.Context, id pool.ID, _ pool.Adapter, _ route.Version) (time.Duration, error) {
+		Grant: func(_ context.Context, id pool.ID, _ pool.Adapter, _ route.Version, _ pool.Use) (time.Duration, error) {
 			return b.grant(id)
 		},
 		Lost: func(pool.ID, pool.Adapter) {}, Send: b.send, Peers: func() int { return 0 }, Ends: func() time.Duration { return b.ends }, Draw: func() float64 { return 0.5 },
--- a/state/pool/choose.go
+++ b/state/pool/choose.go
@@ -104,6 +104,17 @@
 	return best, true
 }
 
+// Predict returns the predicted time to the first event on one upstream.
+func (p *Pool) Predict(id ID, a Ask, now time.Duration) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e, ok := p.entries[id]
+	if !ok || a.Engine == nil {
+		return 0
+	}
+	return e.firstEvent(a, e.busy(now))
+}
+
 func (e *entry) usable(a Ask, now time.Duration) bool {
 	if e.Draining || !e.there(now) || now < e.health.downUntil {
 		return false
@@ -118,7 +129,7 @@
 // price returns the choice of the upstream, but for what the list says of it,
 // and its cost as a time.
 func (e *entry) price(a Ask, now time.Duration) (Choice, time.Duration) {
-	c := Choice{Busy: e.total}
+	c := Choice{Busy: e.busy(now)}
 	c.Room = c.Busy.Running < e.Slots/2
 	cost := time.Duration(float64(failurePenalty) * e.health.failing)
 	if e.Zone != a.Zone {
@@ -171,7 +182,7 @@
 		return cost
 	}
 	cost += evictPenalty
-	if ok && e.running[t] > 0 || !ok && e.idleHeld(now) == 0 {
+	if ok && e.inUse(t, now) > 0 || !ok && e.idleHeld(now) == 0 {
 		cost += fullPenalty / 2
 	}
 	return cost
@@ -181,7 +192,7 @@
 func (e *entry) idleHeld(now time.Duration) int {
 	n := 0
 	for a, h := range e.held {
-		if h.ReadyAt <= now && e.running[a] == 0 {
+		if h.ReadyAt <= now && e.inUse(a, now) == 0 {
 			n++
 		}
 	}
--- a/state/pool/pool.go
+++ b/state/pool/pool.go
@@ -75,10 +75,15 @@
 	// recent are the adapters that the upstream loads faster.
 	recent map[Tag]bool
 	own    map[Tag]*Use
-	// total is the work of all instances, running that by adapter.
+	// total is the work of this instance and of those that report theirs to it,
+	// running that by adapter.
 	total   Use
 	running map[Tag]int
-	health  health
+	// others is the work of other instances as the engine's owner tells, until
+	// othersUntil.
+	others      others
+	othersUntil time.Duration
+	health      health
 	// loadsFrom is the instant from which the engine may be asked for a load.
 	loadsFrom time.Duration
 	// pace is the measured time to the first event over the predicted one.
--- a/state/pool/work.go
+++ b/state/pool/work.go
@@ -1,5 +1,11 @@
 package pool
 
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
 // Use is the work that an instance has on an upstream for one adapter.
 type Use struct {
 	Running int
@@ -16,6 +22,16 @@
 	Use
 }
 
+// others is work that the owner of an engine tells of, in all and by adapter.
+type others struct {
+	Use
+	running map[Tag]int
+}
+
+// othersTime is how long what an owner told is believed: an owner that ends is
+// replaced after seconds, and its engines work on meanwhile.
+const othersTime = 4 * time.Second
+
 func (u *Use) add(o Use, sign int) {
 	u.Running += sign * o.Running
 	u.Unread += sign * o.Unread
@@ -75,14 +91,22 @@
 	}
 }
 
-// OwnWork returns the work of this instance.
-func (p *Pool) OwnWork() []Work {
+// OwnWork returns the work of this instance by a key of the upstream. Those that
+// have none are left out.
+func (p *Pool) OwnWork(key func(u Upstream) (string, bool)) map[string][]Work {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var out []Work
+	out := map[string][]Work{}
 	for _, e := range p.entries {
+		if len(e.own) == 0 {
+			continue
+		}
+		k, ok := key(e.Upstream)
+		if !ok {
+			continue
+		}
 		for a, u := range e.own {
-			out = append(out, Work{Upstream: e.tag, Adapter: a, Use: *u})
+			out[k] = append(out[k], Work{Upstream: e.tag, Adapter: a, Use: *u})
 		}
 	}
 	return out
@@ -109,6 +133,85 @@
 	}
 }
 
+// AddPeer adds to the work of a peer, until SetPeer replaces it.
+func (p *Pool) AddPeer(name string, w Work) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.countWork([]Work{w}, 1)
+	p.peers[name] = append(slices.Clone(p.peers[name]), w)
+}
+
+// SetOthers notes all work on an engine as its owner tells, with that of this
+// instance that the owner knew of. Running is by adapter; nil leaves what was
+// told before.
+func (p *Pool) SetOthers(id ID, all, own Use, running map[Tag]int, now time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e, ok := p.entries[id]
+	if !ok {
+		return
+	}
+	all.add(own, -1)
+	e.others.Use = Use{Running: max(0, all.Running), Unread: max(0, all.Unread), Tokens: max(0, all.Tokens)}
+	if running != nil {
+		e.others.running = running
+	}
+	e.othersUntil = now + othersTime
+}
+
+// ForgetOthers drops what another instance told of an engine, when this one has
+// become its owner.
+func (p *Pool) ForgetOthers(id ID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if e, ok := p.entries[id]; ok {
+		e.others = others{}
+	}
+}
+
+// Own returns the work of this instance on an upstream.
+func (p *Pool) Own(id ID) Use {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var sum Use
+	if e, ok := p.entries[id]; ok {
+		for _, u := range e.own {
+			sum.add(*u, 1)
+		}
+	}
+	return sum
+}
+
+// Total returns the work on an upstream by all instances, and the running
+// requests by adapter.
+func (p *Pool) Total(id ID, now time.Duration) (Use, map[Tag]int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e, ok := p.entries[id]
+	if !ok {
+		return Use{}, nil
+	}
+	return e.busy(now), maps.Clone(e.running)
+}
+
+// busy is the work of all instances.
+func (e *entry) busy(now time.Duration) Use {
+	u := e.total
+	if now < e.othersUntil {
+		u.add(e.others.Use, 1)
+	}
+	return u
+}
+
+// inUse returns the running requests for an adapter of all instances.
+func (e *entry) inUse(t Tag, now time.Duration) int {
+	n := e.running[t]
+	if now < e.othersUntil {
+		n += e.others.running[t]
+	}
+	return n
+}
+
 // InUse returns the requests that run on an upstream for an adapter.
 func (p *Pool) InUse(id ID, a Adapter) int {
 	p.mu.Lock()
--- /dev/null
+++ b/state/usage/usage_test.go
@@ -0,0 +1,138 @@
+package usage_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"gentiangauge.example/gentiangauge/state/pool"
+	"gentiangauge.example/gentiangauge/state/usage"
+)
+
+func work(n int) []pool.Work {
+	return []pool.Work{{Upstream: 1, Adapter: 2, Use: pool.Use{Running: n, Unread: 1000 * n, Tokens: 2000 * n}}}
+}
+
+func TestOwnerIsToldOfChangesAndOfTheEnd(t *testing.T) {
+	r := usage.New()
+	now := time.Hour
+	due := func(w map[string][]pool.Work) int {
+		now += usage.Interval
+		return len(r.Due(w, now))
+	}
+	busy := map[string][]pool.Work{"owner": work(1)}
+	for i, want := range []int{1, 0, 0} {
+		if got := due(busy); got != want {
+			t.Errorf("look %d at the same work: %d reports, want %d", i, got, want)
+		}
+	}
+	if due(map[string][]pool.Work{"owner": work(2)}) != 1 {
+		t.Error("a change is not told")
+	}
+	if got := r.Told("owner", 1); got.Running != 2 {
+		t.Errorf("the owner was told of %d requests, want 2", got.Running)
+	}
+	ends := 0
+	for range 10 {
+		ends += due(nil)
+	}
+	if ends < 2 || ends > 5 {
+		t.Errorf("the end is told %d times", ends)
+	}
+}
+
+func TestWorkThatGoesOnIsToldAgain(t *testing.T) {
+	r := usage.New()
+	told := 0
+	for now := time.Hour; now < time.Hour+2*time.Second; now += usage.Interval {
+		told += len(r.Due(map[string][]pool.Work{"owner": work(1)}, now))
+	}
+	if told < 3 {
+		t.Errorf("told %d times in 2 s; a lost report is not made up for", told)
+	}
+}
+
+// TestRequestThatWentElsewhereIsTakenBack asks an owner for a request that then
+// runs elsewhere: the owner counts it until the next report, which comes soon.
+func TestRequestThatWentElsewhereIsTakenBack(t *testing.T) {
+	r := usage.New()
+	r.Asked("owner")
+	l := r.Due(nil, time.Hour)
+	if x, ok := l["owner"]; !ok || len(x.Work) != 0 {
+		t.Errorf("reports %v, want one without work", l)
+	}
+}
+
+func TestInstanceThatReportsNoMoreExpires(t *testing.T) {
+	r := usage.New()
+	r.Note("a", time.Hour)
+	r.Note("b", time.Hour+1500*time.Millisecond)
+	if got := r.Expired(time.Hour + 2500*time.Millisecond); len(got) != 1 || got[0] != "a" {
+		t.Errorf("expired %v, want a", got)
+	}
+}
+
+// TestOwnerKnowsTheWorkThroughLosses loses, doubles and delays reports: once they
+// arrive again, the owner knows the work within a second.
+func TestOwnerKnowsTheWorkThroughLosses(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := usage.New()
+		known, newest := 0, int64(0)
+		var late []usage.Report
+		take := func(x usage.Report) {
+			if x.Sequence <= newest {
+				return
+			}
+			newest, known = x.Sequence, 0
+			for _, w := range x.Work {
+				known += w.Running
+			}
+		}
+		n, now := 0, time.Hour
+		step := func(faults bool) {
+			now += usage.Interval
+			w := map[string][]pool.Work{}
+			if n > 0 {
+				w["owner"] = work(n)
+			}
+			for _, x := range r.Due(w, now) {
+				if !faults {
+					take(x)
+					continue
+				}
+				switch rapid.IntRange(0, 3).Draw(t, "fate") {
+				case 0:
+					take(x)
+				case 1:
+					take(x)
+					take(x)
+				case 2:
+					late = append(late, x)
+				}
+			}
+		}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			n = rapid.IntRange(0, 3).Draw(t, "requests")
+			step(true)
+		}
+		n = rapid.IntRange(1, 3).Draw(t, "at the end")
+		for range 10 {
+			step(false)
+		}
+		for _, x := range late {
+			take(x)
+		}
+		if known != n {
+			t.Fatalf("the owner knows of %d requests, want %d", known, n)
+		}
+	})
+}
+
+func ExampleReports_Due() {
+	r := usage.New()
+	w := map[string][]pool.Work{"owner": {{Upstream: 1, Use: pool.Use{Running: 1}}}}
+	fmt.Println(len(r.Due(w, time.Second)), len(r.Due(w, time.Second+usage.Interval)))
+	// Output: 1 0
+}
