--- a/protocol/dispatch/attempt.go
+++ b/protocol/dispatch/attempt.go
@@ -298,7 +298,7 @@
 }
 
 // guard cancels a send that gives no first part of an answer while another
-// upstream could still give one in time. The function that it returns ends
+// upstream could still give one in time, if a retry is left. The function that it returns ends
 // the guard, and returns false if the send was cancelled before.
 //
 // Load pattern: an upstream takes requests and stays silent.
@@ -315,6 +315,10 @@
 		defer stop()
 		select {
 		case <-n:
+			if !d.Budget.Left(j.serviceTag()) {
+				d.Log.Info("upstream is silent, and no retry is left", zap.String("request", j.ID), zap.String("upstream", string(j.choice.ID)))
+				return
+			}
 			if decided.CompareAndSwap(false, true) {
 				d.Log.Info("upstream is silent", zap.String("request", j.ID), zap.String("upstream", string(j.choice.ID)), zap.Duration("limit", limit))
 				cancel()
--- a/protocol/dispatch/dispatch_test.go
+++ b/protocol/dispatch/dispatch_test.go
@@ -197,6 +197,29 @@
 	}
 }
 
+// TestSilentUpstreamIsWaitedForWithoutARetry replays wtw-prod-large trouble-3:
+// sends were given up after the latency objective though no retry was left, and
+// the callers got a failure in place of a late answer.
+func TestSilentUpstreamIsWaitedForWithoutARetry(t *testing.T) {
+	b := newBench(2)
+	b.d.Reload(dispatch.Settings{Capacity: pool.Capacity{TokensPerSecond: 25_800, Step: 8 * time.Millisecond}})
+	b.answer = func(int, dispatch.Send) (*dispatch.Answer, error) {
+		c := b.context
+		n, stop := b.timer.Notify(600 * time.Millisecond)
+		defer stop()
+		select {
+		case <-n:
+			return stream(secondHalf, false), nil
+		case <-c.Done():
+			return nil, relay.ErrBroken
+		}
+	}
+	w, err := b.serve("/chat/")
+	if err != nil || w.Code != http.StatusOK || len(b.sends) != 1 {
+		t.Errorf("status %d, %v after %d sends", w.Code, err, len(b.sends))
+	}
+}
+
 func TestCutStreamIsResumedAfterItsLastWholeEvent(t *testing.T) {
 	b := newBench(2)
 	b.answer = func(n int, s dispatch.Send) (*dispatch.Answer, error) {
