orders: an overdue load is expected to take half its time so far again

Change: the owner that is told of an overdue load expects it to go on for half of the time that it took so far; a request asks its owner again after a pause.

TestOverdueLoadIsAskedForEverMoreSeldom: eight questions before, four after.

--- a/coordination/orders/duty.go
+++ b/coordination/orders/duty.go
@@ -32,7 +32,7 @@
 	for _, id := range busy {
 		o.worker(id).Tell(func(e *engine) {
 			if n, ok := o.Engine(e.upstream.Service); ok {
-				e.advance(o.Timer.Boot(), o.Loading()+o.Own(), o.timing.Load().parallel(n))
+				e.advance(o.Timer.Boot(), slower(o.Loading()+o.Own(), o.timing.Load().parallel(n)))
 				o.publish(e, id)
 			}
 		})
--- a/coordination/orders/orders.go
+++ b/coordination/orders/orders.go
@@ -139,7 +139,7 @@
 	now := o.Timer.Boot()
 	loading := o.Loading() + o.Own()
 	parallel := o.timing.Load().parallel(n)
-	e.advance(now, loading, parallel)
+	e.advance(now, slower(loading, parallel))
 	u := uses{running: func(x pool.Adapter) int { return o.Pool.InUse(id, x) }, age: o.Age()}
 	d, x := e.plan(a, v, n.AdapterSlots, u, now)
 	switch d {
@@ -335,7 +335,7 @@
 	e.places[a] = p
 	delete(e.recent, a.Tag())
 	delete(e.dropped, a)
-	e.advance(now, o.Loading()+o.Own()+1, parallel)
+	e.advance(now, slower(o.Loading()+o.Own()+1, parallel))
 	p.used(now, 1)
 	p.grantedUntil = p.readyAt + grantTime
 	o.publish(e, e.upstream.ID)
@@ -381,8 +381,10 @@
 		now := o.Timer.Boot()
 		p, ok := e.places[a]
 		if ok && now-p.readyAt < pool.LateLoad && p.readyAt > p.orderedAt {
-			p.left = max(p.left, loadStep)
-			p.readyAt = now + p.left
+			if n, ok := o.Engine(e.upstream.Service); ok {
+				e.advance(now, slower(o.Loading()+o.Own(), o.timing.Load().parallel(n)))
+			}
+			p.overdue(now)
 			o.publish(e, id)
 			return
 		}
--- a/coordination/orders/orders_test.go
+++ b/coordination/orders/orders_test.go
@@ -351,3 +351,29 @@
 		t.Errorf("granted by an instance that leaves: %v", err)
 	}
 }
+
+// TestOverdueLoadIsAskedForEverMoreSeldom replays the start of traffic on
+// wtw-prod-large scale-1: loads took up to four times as long as at full speed,
+// and each request asked the engine up to six times, 50 ms apart.
+func TestOverdueLoadIsAskedForEverMoreSeldom(t *testing.T) {
+	b := newBench(t, 0)
+	ready, err := b.load(1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	const takes = time.Second
+	began, asked := b.now, 0
+	for b.now += ready; b.now < began+takes; b.now += ready {
+		asked++
+		b.orders.Lost("e0", adapter(1))
+		if ready, err = b.load(1); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if asked > 4 {
+		t.Errorf("the engine was asked %d times before the load ended", asked)
+	}
+	if late := b.now - began - takes; late > takes/2 {
+		t.Errorf("the adapter is used %v after it was ready", late)
+	}
+}
--- a/coordination/orders/plan.go
+++ b/coordination/orders/plan.go
@@ -204,14 +204,18 @@
 	return worst, found
 }
 
-// advance moves the loads on to now. Above the number of loads over the fleet
-// that run at full speed, all become slower in proportion.
+// slower returns how many times longer than at full speed loads take: above the
+// number over the fleet that run at full speed, all become slower in proportion.
+func slower(loading, parallel int) float64 {
+	return max(1, float64(loading)/float64(parallel))
+}
+
+// advance moves the loads on to now.
 //
 // Load pattern: many adapters are asked for at once.
-func (e *engine) advance(now time.Duration, loading, parallel int) {
+func (e *engine) advance(now time.Duration, slower float64) {
 	passed := now - e.advanced
 	e.advanced = now
-	slower := max(1, float64(loading)/float64(parallel))
 	for _, p := range e.places {
 		if p.left <= 0 {
 			continue
@@ -225,6 +229,20 @@
 	}
 }
 
+// overdueShare is the part of the time that a load took so far for which it is
+// expected to go on when it has not ended as expected.
+const overdueShare = 0.5
+
+// overdue notes that a load has not ended yet.
+//
+// Load pattern: more adapters are asked for than the weight store hands out at
+// full speed, such as when traffic starts; what the other owners have under way
+// is known a beat later.
+func (p *place) overdue(now time.Duration) {
+	p.left = max(p.left, loadStep, time.Duration(overdueShare*float64(now-p.orderedAt)))
+	p.readyAt = now + p.left
+}
+
 func (e *engine) remember(a pool.Adapter, now time.Duration) {
 	e.recent[a.Tag()] = now
 	if len(e.recent) <= maxRecent {
--- a/protocol/dispatch/attempt.go
+++ b/protocol/dispatch/attempt.go
@@ -181,16 +181,17 @@
 
 // granted asks the owner of an engine for an adapter that is known to be there.
 // It returns the time until it is ready, and false if it is not there any more.
-// If the owner cannot be asked, what is known holds; so does what an engine has
-// just said itself of a load that takes longer than its owner expects.
+// If the owner cannot be asked, what is known holds. An owner that was told of a
+// load which takes longer than expected is asked again a little later.
 func (d *Dispatcher) granted(c context.Context, j *job, h pool.Choice) (time.Duration, bool) {
 	if j.service.Engine == nil || j.Adapter.Name == "" {
 		return h.ReadyIn, true
 	}
+	if j.moved > 0 && d.Timer.Wait(c, h.ReadyIn) != nil {
+		return h.ReadyIn, true
+	}
 	ready, err := d.Grant(c, h.ID, j.Adapter, h.Version, pool.Use{Running: 1, Unread: j.PromptTokens, Tokens: j.tokens})
 	switch {
-	case err == nil && j.moved > 0:
-		return max(ready, h.ReadyIn), true
 	case err == nil:
 		return ready, true
 	case errors.Is(err, orders.ErrAbsent):
