--- a/protocol/caller/forward.go
+++ b/protocol/caller/forward.go
@@ -5,12 +5,12 @@
 	"bytes"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"regexp"
 
 	"gentiangauge.example/gentiangauge/refusal"
 	"gentiangauge.example/gentiangauge/state/lists"
+	"gentiangauge.example/gentiangauge/transport/relay"
 )
 
 const (
@@ -70,8 +70,8 @@
 // forwardPlain holds a plain answer until it is whole, so that a cut one is
 // never passed on and the request may run again.
 func (s *Server) forwardPlain(w http.ResponseWriter, g *generation, a *http.Response) error {
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxPlainBytes+1))
-	if err != nil || len(body) > maxPlainBytes {
+	body, err := relay.ReadAll(a.Body, maxPlainBytes)
+	if err != nil {
 		return brokenOff()
 	}
 	var m answerMessage
--- a/protocol/caller/service.go
+++ b/protocol/caller/service.go
@@ -221,8 +221,8 @@
 			return booking.Answer{}, true, err
 		}
 		defer answer.Body.Close()
-		b, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes+1))
-		if err != nil || len(b) > maxAnswerBytes {
+		b, err := relay.ReadAll(answer.Body, maxAnswerBytes)
+		if err != nil {
 			return booking.Answer{}, true, relay.ErrBroken
 		}
 		return booking.Answer{Status: answer.StatusCode, ContentType: answer.Header.Get(contentType), Body: b}, true, nil
--- a/protocol/dispatch/pass.go
+++ b/protocol/dispatch/pass.go
@@ -13,12 +13,16 @@
 
 	"gentiangauge.example/gentiangauge/state/pool"
 	"gentiangauge.example/gentiangauge/state/route"
+	"gentiangauge.example/gentiangauge/transport/relay"
 )
 
 const (
 	// maxPlainBytes bounds an answer that is held until it is whole.
-	maxPlainBytes = 16 << 20
+	maxPlainBytes = 8 << 20
 	readBytes     = 8 << 10
+	// maxEventBytes bounds an event of a stream. An upstream may send bytes that
+	// are no event without end.
+	maxEventBytes = 1 << 20
 )
 
 // pass passes an answer on to the caller. First is called at its first part, and
@@ -33,8 +37,8 @@
 // passPlain holds an answer until it is whole, so that a cut one is never
 // passed on.
 func (d *Dispatcher) passPlain(c context.Context, w http.ResponseWriter, j *job, a *Answer, first func() bool) error {
-	b, err := io.ReadAll(io.LimitReader(a.Body, maxPlainBytes+1))
-	if err != nil || len(b) > maxPlainBytes {
+	b, err := relay.ReadAll(a.Body, maxPlainBytes)
+	if err != nil {
 		return d.cut(c, j, err)
 	}
 	// A whole answer is passed on even if it was just given up.
@@ -89,6 +93,8 @@
 			pending = append(pending[:0], pending[whole:]...)
 		}
 		switch {
+		case len(pending) > maxEventBytes:
+			return d.cut(c, j, eris.Wrapf(relay.ErrTooLarge, "an event of over %d bytes", maxEventBytes))
 		case err == nil:
 		case err != io.EOF || len(pending) > 0 || !j.first:
 			return d.cut(c, j, err)
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -45,18 +45,34 @@
 	shared *http.Client
 }
 
+// ErrTooLarge says that an answer is larger than it may be. Bytes that are no
+// answer may come without end.
+var ErrTooLarge = eris.New("the answer is too large")
+
 const (
 	dialTimeout     = time.Second
 	idleConnections = 64
+	// MaxHeadBytes bounds the head of an answer, four times what callers may send.
+	MaxHeadBytes = 64 << 10
 )
 
+// ReadAll reads a body up to a number of bytes. It fails with ErrTooLarge if there
+// are more.
+func ReadAll(r io.Reader, limit int64) ([]byte, error) {
+	b, err := io.ReadAll(io.LimitReader(r, limit+1))
+	if err == nil && int64(len(b)) > limit {
+		return nil, eris.Wrapf(ErrTooLarge, "over %d bytes", limit)
+	}
+	return b, err
+}
+
 // New returns a relay.
 func New() *Relay {
 	d := &net.Dialer{Timeout: dialTimeout}
 	r := &Relay{Dial: d.DialContext}
 	r.shared = &http.Client{
 		Transport: &http.Transport{
-			DialContext: r.dial, MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: time.Minute, DisableCompression: true,
+			DialContext: r.dial, MaxResponseHeaderBytes: MaxHeadBytes, MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: time.Minute, DisableCompression: true,
 		},
 		CheckRedirect: keepRedirect,
 	}
@@ -109,7 +125,7 @@
 		return nil, eris.Wrap(ErrNotSent, err.Error())
 	}
 	wrote := &atomic.Bool{}
-	t := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
+	t := &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: MaxHeadBytes}
 	t.DialContext = func(c context.Context, network, address string) (net.Conn, error) {
 		n, err := r.Dial(c, network, address)
 		if err != nil {
