--- /dev/null
+++ b/coordination/gossip/fuzz_test.go
@@ -0,0 +1,74 @@
+package gossip_test
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"gentiangauge.example/gentiangauge/coordination/gossip"
+	"gentiangauge.example/gentiangauge/state/pool"
+	"gentiangauge.example/gentiangauge/timer"
+)
+
+// maxDatagram is the largest one that loopback takes in any case.
+const maxDatagram = 32 << 10
+
+// FuzzDatagram sends any bytes to an instance: it hears the next beat all the
+// same.
+func FuzzDatagram(f *testing.F) {
+	f.Add([]byte{})
+	f.Add([]byte("no beat"))
+	f.Add([]byte{0x0a, 0xff, 0xff, 0xff, 0xff, 0x0f})
+	f.Add([]byte{0x0a, 0x01, 'x', 0x72, 0x03, 1, 2, 3, 0x7a, 0x02, 0xff, 0x01})
+	// A report with fewer numbers than upstreams, and one of another field.
+	f.Add([]byte{0x0a, 0x01, 'x', 0xe8, 0x01, 0x01, 0x9a, 0x01, 0x08, 1, 0, 0, 0, 2, 0, 0, 0})
+	f.Add([]byte{0xc2, 0x01, 0x03, 0x1a, 0x01, 0x07})
+	c, cancel := context.WithCancel(context.Background())
+	f.Cleanup(cancel)
+	heard := make(chan int64, 1024)
+	t := timer.New()
+	receiver, to := socket(f)
+	g := gossip.New("receiver", receiver, t, zap.NewNop())
+	g.Compose, g.Addresses = func() gossip.Beat { return gossip.Beat{} }, func() (near, far []netip.AddrPort) { return nil, nil }
+	g.Heard = func(b gossip.Beat) {
+		if b.Name == "sender" {
+			heard <- b.Sequence
+		}
+	}
+	g.Reported = func(gossip.Report) {}
+	go g.Run(c)
+	conn, _ := socket(f)
+	s := gossip.New("sender", conn, t, zap.NewNop())
+	s.Compose = func() gossip.Beat { return gossip.Beat{Run: 1, Work: []pool.Work{{Upstream: 1}}} }
+	s.Addresses = func() (near, far []netip.AddrPort) { return []netip.AddrPort{to}, nil }
+	f.Fuzz(func(t *testing.T, data []byte) {
+		data = data[:min(len(data), maxDatagram)]
+		if _, err := conn.WriteToUDPAddrPort(data, to); err != nil {
+			t.Fatal(err)
+		}
+		// Datagrams may be lost, so that the beat is sent until one is heard.
+		for range 100 {
+			s.Send()
+			select {
+			case <-heard:
+				return
+			case <-time.After(100 * time.Millisecond):
+			}
+		}
+		t.Fatal("no beat is heard any more")
+	})
+}
+
+func socket(f *testing.F) (*net.UDPConn, netip.AddrPort) {
+	f.Helper()
+	c, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Cleanup(func() { _ = c.Close() })
+	return c, netip.MustParseAddrPort(c.LocalAddr().String())
+}
