--- a/coordination/gossip/beat_test.go
+++ b/coordination/gossip/beat_test.go
@@ -52,7 +52,7 @@
 	return b
 }
 
-func listen(t *testing.T) (*net.UDPConn, netip.AddrPort) {
+func listen(t testing.TB) (*net.UDPConn, netip.AddrPort) {
 	t.Helper()
 	c, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
 	if err != nil {
--- a/coordination/gossip/fuzz_test.go
+++ b/coordination/gossip/fuzz_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/netip"
 	"testing"
 	"time"
@@ -31,7 +30,7 @@
 	f.Cleanup(cancel)
 	heard := make(chan int64, 1024)
 	t := timer.New()
-	receiver, to := socket(f)
+	receiver, to := listen(f)
 	g := gossip.New("receiver", receiver, t, zap.NewNop())
 	g.Compose, g.Addresses = func() gossip.Beat { return gossip.Beat{} }, func() (near, far []netip.AddrPort) { return nil, nil }
 	g.Heard = func(b gossip.Beat) {
@@ -41,7 +40,7 @@
 	}
 	g.Reported = func(gossip.Report) {}
 	go g.Run(c)
-	conn, _ := socket(f)
+	conn, _ := listen(f)
 	s := gossip.New("sender", conn, t, zap.NewNop())
 	s.Compose = func() gossip.Beat { return gossip.Beat{Run: 1, Work: []pool.Work{{Upstream: 1}}} }
 	s.Addresses = func() (near, far []netip.AddrPort) { return []netip.AddrPort{to}, nil }
@@ -62,13 +61,3 @@
 		t.Fatal("no beat is heard any more")
 	})
 }
-
-func socket(f *testing.F) (*net.UDPConn, netip.AddrPort) {
-	f.Helper()
-	c, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
-	if err != nil {
-		f.Fatal(err)
-	}
-	f.Cleanup(func() { _ = c.Close() })
-	return c, netip.MustParseAddrPort(c.LocalAddr().String())
-}
