entry, orders, pool: one piece for what stood twice

load and grant asked the owner of an engine in the same steps, and the owner's handler chose between the same two orders; loads were advanced in two places alike; ReadyIn looked an adapter up as Holds does. Behaviour is as it was.

--- a/coordination/orders/duty.go
+++ b/coordination/orders/duty.go
@@ -31,8 +31,8 @@
 	o.mu.Unlock()
 	for _, id := range busy {
 		o.worker(id).Tell(func(e *engine) {
-			if n, ok := o.Engine(e.upstream.Service); ok {
-				e.advance(o.Timer.Boot(), slower(o.Loading()+o.Own(), o.timing.Load().parallel(n)))
+			if _, ok := o.Engine(e.upstream.Service); ok {
+				o.advance(e, o.Timer.Boot())
 				o.publish(e, id)
 			}
 		})
--- a/coordination/orders/orders.go
+++ b/coordination/orders/orders.go
@@ -162,6 +162,13 @@
 	return o.order(c, e, a, v, parallel)
 }
 
+// advance moves the loads of an engine on to now.
+func (o *Orders) advance(e *engine, now time.Duration) {
+	if n, ok := o.Engine(e.upstream.Service); ok {
+		e.advance(now, slower(o.Loading()+o.Own(), o.timing.Load().parallel(n)))
+	}
+}
+
 // sync reads the state of an engine when this instance has just become its
 // owner, the engine started anew, or an order was left without an answer.
 func (o *Orders) sync(c context.Context, e *engine, id pool.ID) error {
@@ -381,9 +388,7 @@
 		now := o.Timer.Boot()
 		p, ok := e.places[a]
 		if ok && now-p.readyAt < pool.LateLoad && p.readyAt > p.orderedAt {
-			if n, ok := o.Engine(e.upstream.Service); ok {
-				e.advance(now, slower(o.Loading()+o.Own(), o.timing.Load().parallel(n)))
-			}
+			o.advance(e, now)
 			p.overdue(now)
 			o.publish(e, id)
 			return
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -145,7 +145,9 @@
 	}
 	e := &Entry{
 		Config: k, Adapter: a, timer: t, log: log.Named("entry"), run: time.Duration(t.Now().UnixNano()).Milliseconds(), began: t.Boot(),
-		pool: pool.New(), feeds: map[string]*feed.Feed{}, life: c, conn: conn, wakes: map[string]chan struct{}{}, listings: mirror.NewMarks[listing](), owners: newOwners(c), retries: retry.New(), reporter: usage.New(),
+		pool: pool.New(), feeds: map[string]*feed.Feed{}, life: c, conn: conn,
+		wakes: map[string]chan struct{}{}, listings: mirror.NewMarks[listing](),
+		owners: newOwners(c), retries: retry.New(), reporter: usage.New(),
 		quota: newQuota(k.PlanWindow), versions: versions{known: map[pool.Adapter]versionState{}}, members: members{known: map[string]member{}},
 	}
 	recorder := timeline.New(k.Name, timelineEvents, t.Now)
--- a/entry/owners.go
+++ b/entry/owners.go
@@ -120,32 +120,39 @@
 
 // load has the owner of an engine load an adapter.
 func (e *Entry) load(c context.Context, id pool.ID, a pool.Adapter, v route.Version, u pool.Use) (time.Duration, error) {
-	owner, ok := e.ownership.Owner(id)
-	switch {
-	case !ok:
-		return 0, ownership.ErrNotOwner
-	case owner == e.Name:
-		return e.orders.Load(c, id, a, v)
-	default:
-		return e.callOwner(c, owner, false, e.newLoadQuery(id, a, v, u))
-	}
+	return e.askOwner(c, id, false, e.newLoadQuery(id, a, v, u))
 }
 
-// grant has the owner of an engine keep an adapter for a request.
+// grant has the owner of an engine keep an adapter for a request. An owner that did
+// not answer lately is not asked.
 func (e *Entry) grant(c context.Context, id pool.ID, a pool.Adapter, v route.Version, u pool.Use) (time.Duration, error) {
+	return e.askOwner(c, id, true, e.newLoadQuery(id, a, v, u))
+}
+
+// askOwner asks the owner of an engine, which may be this instance.
+func (e *Entry) askOwner(c context.Context, id pool.ID, held bool, q *loadQuery) (time.Duration, error) {
 	owner, ok := e.ownership.Owner(id)
 	switch {
 	case !ok:
 		return 0, ownership.ErrNotOwner
 	case owner == e.Name:
-		return e.orders.Grant(c, id, a, v)
-	case e.owners.avoids(owner, e.timer.Boot()):
+		return e.order(c, held, q)
+	case held && e.owners.avoids(owner, e.timer.Boot()):
 		return 0, orders.ErrUnsure
 	default:
-		return e.callOwner(c, owner, true, e.newLoadQuery(id, a, v, u))
+		return e.callOwner(c, owner, held, q)
 	}
 }
 
+// order answers as the owner of an engine.
+func (e *Entry) order(c context.Context, held bool, q *loadQuery) (time.Duration, error) {
+	ask := e.orders.Load
+	if held {
+		ask = e.orders.Grant
+	}
+	return ask(c, pool.ID(q.Upstream), q.adapter(), route.Version(q.Version))
+}
+
 // lost notes that an engine lacks an adapter that it was said to hold, and tells
 // its owner.
 func (e *Entry) lost(id pool.ID, a pool.Adapter) {
@@ -223,12 +230,7 @@
 // serveOrders registers what other instances may ask the owner of an engine.
 func (e *Entry) serveOrders() {
 	mesh.Handle(e.mesh, loadMethod, func(c context.Context, _ string, q *loadQuery) (*loadReply, error) {
-		ask := e.orders.Load
-		if q.Held {
-			ask = e.orders.Grant
-		}
-		ready, err := ask(c, pool.ID(q.Upstream), q.adapter(), route.Version(q.Version))
-		r, err := newLoadReply(ready, err)
+		r, err := newLoadReply(e.order(c, q.Held, q))
 		if err != nil || r.StoreBusy || r.Full || r.Absent {
 			return r, err
 		}
--- a/entry/readers.go
+++ b/entry/readers.go
@@ -126,8 +126,7 @@
 // gets them from the store, unless that fails.
 func (e *Entry) catchUp(c context.Context, table string) {
 	f := e.feeds[table]
-	p, ok := e.ahead(table)
-	if !ok || !f.Mirror.Loaded() && !f.Failing() {
+	if _, ok := e.ahead(table); !ok || !f.Mirror.Loaded() && !f.Failing() {
 		return
 	}
 	if e.reads.Load() && !f.Failing() {
@@ -135,7 +134,9 @@
 	} else {
 		_ = e.timer.Wait(c, time.Duration(rand.Int64N(int64(spreadTime))))
 	}
-	if p, ok = e.ahead(table); !ok {
+	// The rows may have come meanwhile.
+	p, ok := e.ahead(table)
+	if !ok {
 		return
 	}
 	m, ok := e.members.get(p.Name)
--- a/state/pool/pool.go
+++ b/state/pool/pool.go
@@ -212,13 +212,7 @@
 // ReadyIn returns the time until an adapter is ready on an upstream, and
 // false if it is not known to be there.
 func (p *Pool) ReadyIn(id ID, a Adapter, now time.Duration) (time.Duration, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	e, ok := p.entries[id]
-	if !ok {
-		return 0, false
-	}
-	h, ok := e.held[a.Tag()]
+	h, ok := p.Holds(id, a)
 	return max(0, h.ReadyAt-now), ok
 }
 
