entry: log and measure how current the copies of the store's tables are

Each instance now notes when its copy of a table was last known to be the newest and by whom, and since when it knows of newer rows that it lacks. After half a second it logs that once, with who told of them and whether it reads the store itself. The lines on a request name the versions that it was decided on and their age; two gauges a table show the same. Beats tell whether an instance reads the store. No decision changes.

--- a/coordination/feed/feed.go
+++ b/coordination/feed/feed.go
@@ -30,6 +30,8 @@
 	// Changed is called with the rows that changed, in no order. Steady is not
 	// set while rows that are missing may come back, since the store was away.
 	Changed func(rows []mirror.Row, steady bool)
+	// Answered is called after each answer of the store, if it is not nil.
+	Answered func()
 	// Gap is the least time between two calls, for tables whose rows change
 	// often.
 	Gap time.Duration
@@ -78,6 +80,9 @@
 			complete = true
 			pause = minRetry
 			f.contact(true, nil)
+			if f.Answered != nil {
+				f.Answered()
+			}
 			if f.Gap > 0 {
 				_ = f.timer.Wait(c, f.Gap)
 			}
--- a/coordination/gossip/beat.go
+++ b/coordination/gossip/beat.go
@@ -43,8 +43,10 @@
 	// which the others may not have read from the store yet.
 	Front string
 	Peer  string
-	// StoreUnsteady is set while the store fails or has lately.
+	// StoreUnsteady is set while the store fails or has lately, and Reading while
+	// the instance reads the tables of the store itself.
 	StoreUnsteady bool
+	Reading       bool
 	// Uptime is the time since the start.
 	Uptime time.Duration
 	// Versions are the versions of the mirrored tables, by the tag of the table.
@@ -82,6 +84,7 @@
 	Loading     int64  `protobuf:"varint,8,opt,name=loading,proto3"`
 	Zone        string `protobuf:"bytes,9,opt,name=zone,proto3"`
 	Unsteady    bool   `protobuf:"varint,11,opt,name=unsteady,proto3"`
+	Reading     bool   `protobuf:"varint,30,opt,name=reading,proto3"`
 	Front       string `protobuf:"bytes,12,opt,name=front,proto3"`
 	Peer        string `protobuf:"bytes,13,opt,name=peer,proto3"`
 	// Versions are in the order of Tables, units in that of Workspaces.
@@ -128,7 +131,7 @@
 	m := &beatMessage{
 		Name: b.Name, Run: b.Run, Sequence: b.Sequence, Serving: b.Serving, UptimeMs: b.Uptime.Milliseconds(),
 		Lease: int64(b.Lease), Surrendered: b.Surrendered, Loading: int64(b.Loading),
-		Zone: b.Zone, Unsteady: b.StoreUnsteady, Front: b.Front, Peer: b.Peer,
+		Zone: b.Zone, Unsteady: b.StoreUnsteady, Reading: b.Reading, Front: b.Front, Peer: b.Peer,
 	}
 	for t, v := range b.Versions {
 		m.Tables, m.Versions = append(m.Tables, uint32(t)), append(m.Versions, int64(v))
@@ -178,7 +181,7 @@
 	b := Beat{
 		Name: m.Name, Run: m.Run, Sequence: m.Sequence, Serving: m.Serving, Uptime: time.Duration(m.UptimeMs) * time.Millisecond,
 		Lease: mirror.Version(m.Lease), Surrendered: m.Surrendered, Loading: int(m.Loading),
-		Zone: m.Zone, StoreUnsteady: m.Unsteady, Front: m.Front, Peer: m.Peer,
+		Zone: m.Zone, StoreUnsteady: m.Unsteady, Reading: m.Reading, Front: m.Front, Peer: m.Peer,
 		Versions: map[pool.Tag]mirror.Version{}, Spent: map[pool.Tag]float64{}, Sent: map[pool.Tag]retry.Count{},
 	}
 	for i := range min(len(m.Tables), len(m.Versions)) {
--- /dev/null
+++ b/entry/currency.go
@@ -0,0 +1,100 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"gentiangauge.example/gentiangauge/coordination/gossip"
+	"gentiangauge.example/gentiangauge/state/freshness"
+	"gentiangauge.example/gentiangauge/state/mirror"
+	"gentiangauge.example/gentiangauge/state/pool"
+)
+
+// behindLog is the time for which newer rows are known from which on it is
+// logged that they are missing. They usually come within a tenth of it.
+const behindLog = 500 * time.Millisecond
+
+// currency is how current the copy of one table is.
+type currency struct {
+	freshness.Table
+	// logged is set while the log says that newer rows are missing. It belongs to
+	// the house keeping.
+	logged bool
+}
+
+// noteVersions takes over the versions of tables that another instance tells.
+func (e *Entry) noteVersions(b gossip.Beat, now time.Duration) {
+	for t, x := range e.currency {
+		x.Told(e.version(t), b.Versions[pool.NewTag(t)], b.Name, b.Reading && !b.StoreUnsteady, now)
+	}
+}
+
+// readFromStore notes that the store has just told all rows of a table.
+func (e *Entry) readFromStore(table string) {
+	e.caughtUp(table, e.currency[table].Read(e.version(table), "store", e.timer.Boot()))
+}
+
+// learned notes that rows of a table were taken over from another instance.
+func (e *Entry) learned(table string) {
+	e.caughtUp(table, e.currency[table].Advance(e.version(table), e.timer.Boot()))
+}
+
+func (e *Entry) caughtUp(table string, behind time.Duration) {
+	if behind >= behindLog {
+		e.log.Info("rows are current again", zap.String("table", table), zap.Int64("has", int64(e.version(table))), zap.Duration("behind", behind))
+	}
+}
+
+// logCurrency logs once for each table that newer rows are known and missing, with
+// what is needed to tell why: who told of them, and whether this instance reads the
+// store itself.
+func (e *Entry) logCurrency(now time.Duration) {
+	for t, x := range e.currency {
+		s := x.State(now)
+		if s.Behind < behindLog {
+			x.logged = false
+			continue
+		}
+		if x.logged {
+			continue
+		}
+		x.logged = true
+		e.log.Warn("newer rows are missing", zap.String("table", t), zap.Int64("has", int64(e.version(t))), zap.Int64("newest", int64(s.Newest)),
+			zap.String("told-by", s.ToldBy), zap.Duration("behind", s.Behind), zap.Duration("confirmed-before", s.Age), zap.String("confirmed-by", s.ConfirmedBy),
+			zap.Bool("reads", e.reads.Load()), zap.Bool("store-fails", e.feeds[t].Failing()))
+	}
+}
+
+// rowAges returns the times since the configuration and the list of upstreams were
+// last known to be the newest.
+func (e *Entry) rowAges() (configuration, upstreams time.Duration) {
+	now := e.timer.Boot()
+	return e.currency[e.Tables.Configuration].State(now).Age, e.currency[e.Tables.Upstreams].State(now).Age
+}
+
+// registerCurrency shows how current the copies of the tables are.
+func (e *Entry) registerCurrency(r prometheus.Registerer) {
+	for t, x := range e.currency {
+		labels := prometheus.Labels{"table": t}
+		r.MustRegister(
+			prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+				Name: "gentiangauge_rows_age_seconds", Help: "Time since the copy of a table was known to be the newest.", ConstLabels: labels,
+			}, func() float64 { return x.State(e.timer.Boot()).Age.Seconds() }),
+			prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+				Name: "gentiangauge_rows_behind_seconds", Help: "Time since which newer rows of a table are known and missing.", ConstLabels: labels,
+			}, func() float64 { return x.State(e.timer.Boot()).Behind.Seconds() }),
+		)
+	}
+}
+
+// version is the version of a table that this instance knows, to be compared
+// with those of others. Rows of upstreams change at each of their heartbeats, so
+// that only those count that matter to requests.
+func (e *Entry) version(table string) mirror.Version {
+	if table == e.Tables.Upstreams {
+		return e.listings.Version()
+	}
+	return e.feeds[table].Mirror.Newest()
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -125,6 +125,7 @@
 	reads    atomic.Bool
 	wakes    map[string]chan struct{}
 	listings *mirror.Marks[listing]
+	currency map[string]*currency
 	owners   *owners
 	retries  *retry.Budget
 	reporter *usage.Reports
@@ -146,7 +147,7 @@
 	e := &Entry{
 		Config: k, Adapter: a, timer: t, log: log.Named("entry"), run: time.Duration(t.Now().UnixNano()).Milliseconds(), began: t.Boot(),
 		pool: pool.New(), feeds: map[string]*feed.Feed{}, life: c, conn: conn,
-		wakes: map[string]chan struct{}{}, listings: mirror.NewMarks[listing](),
+		wakes: map[string]chan struct{}{}, currency: map[string]*currency{}, listings: mirror.NewMarks[listing](),
 		owners: newOwners(c), retries: retry.New(), reporter: usage.New(),
 		quota: newQuota(k.PlanWindow), versions: versions{known: map[pool.Adapter]versionState{}}, members: members{known: map[string]member{}},
 	}
@@ -156,6 +157,7 @@
 	e.gossip.Compose, e.gossip.Heard, e.gossip.Addresses, e.gossip.Zone, e.gossip.Reported = e.compose, e.heard, e.addresses, k.Zone, e.reported
 	e.versionGrace.Store(int64(k.VersionGrace))
 	e.newFeeds(log)
+	e.registerCurrency(r)
 	e.newDuties(r, log)
 	e.handle()
 	return e, nil
@@ -168,8 +170,8 @@
 		ownership.FleetTable:   e.fleetChanged,
 	} {
 		f := feed.New(table, e.Store, e.timer, log, changed)
-		f.Reads, f.PeersUnsteady = e.reads.Load, e.peersUnsteady
-		e.feeds[table], e.wakes[table] = f, make(chan struct{}, 1)
+		f.Reads, f.PeersUnsteady, f.Answered = e.reads.Load, e.peersUnsteady, func() { e.readFromStore(table) }
+		e.feeds[table], e.wakes[table], e.currency[table] = f, make(chan struct{}, 1), &currency{}
 	}
 	e.feeds[e.Tables.Upstreams].Gap = upstreamGap
 	e.feeds[ownership.FleetTable].Gap = fleetGap
@@ -191,6 +193,7 @@
 		Load:   e.load, Grant: e.grant, Orderable: e.orderable, Lost: e.lost, Send: e.Send, Draw: rand.Float64,
 		Ends:    func() time.Duration { return time.Duration(e.ends.Load()) },
 		Peers:   func() int { return int(e.peers.Load()) },
+		Ages:    e.rowAges,
 		Budget:  e.retries,
 		Metrics: dispatch.NewMetrics(r),
 	})
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -165,7 +165,7 @@
 	young := e.countPeers(now)
 	lease, surrendered := e.ownership.Lease(now)
 	b := gossip.Beat{
-		Run: e.run, Serving: e.Ready(), Zone: e.Zone, StoreUnsteady: !e.feeds[e.Tables.Upstreams].Steady(), Uptime: now - e.began, Lease: lease, Surrendered: surrendered,
+		Run: e.run, Serving: e.Ready(), Zone: e.Zone, StoreUnsteady: !e.feeds[e.Tables.Upstreams].Steady(), Reading: e.reads.Load(), Uptime: now - e.began, Lease: lease, Surrendered: surrendered,
 		Work: e.unowned(), Sent: e.retries.Counts(), Loading: e.orders.Own(), Versions: map[pool.Tag]mirror.Version{},
 	}
 	if b.Uptime < introduceTime {
@@ -212,6 +212,7 @@
 		e.unsteady.Store(int64(now))
 	}
 	e.introduce(b)
+	e.noteVersions(b, now)
 	e.wakeFollowers(b)
 	e.pool.SetPeer(b.Name, b.Work)
 	e.quota.heard(b, now-e.began, now)
@@ -274,6 +275,7 @@
 		}
 	}
 	e.chooseReader(now)
+	e.logCurrency(now)
 }
 
 func (e *Entry) expel(c context.Context, name string, m member) {
--- a/entry/readers.go
+++ b/entry/readers.go
@@ -62,16 +62,6 @@
 	return at != 0 && e.timer.Boot()-time.Duration(at) < feed.SettleTime
 }
 
-// version is the version of a table that this instance knows, to be compared
-// with those of others. Rows of upstreams change at each of their heartbeats, so
-// that only those count that matter to requests.
-func (e *Entry) version(table string) mirror.Version {
-	if table == e.Tables.Upstreams {
-		return e.listings.Version()
-	}
-	return e.feeds[table].Mirror.Newest()
-}
-
 // follow takes the newer rows of a table from other instances until c ends.
 func (e *Entry) follow(c context.Context, table string) {
 	wake := e.wakes[table]
@@ -152,10 +142,12 @@
 	}
 	if table != e.Tables.Upstreams {
 		f.Learn(r.mirrorRows(), mirror.Version(r.Version), r.Steady)
+		e.learned(table)
 		return
 	}
 	e.takeUpstreams(f.Mirror.Apply(r.mirrorRows(), mirror.Version(r.Version)), r.since(), r.Steady)
 	e.listings.Reach(mirror.Version(r.Version))
+	e.learned(table)
 	if e.listings.Digest() == r.Digest {
 		return
 	}
--- a/entry/rows.go
+++ b/entry/rows.go
@@ -113,6 +113,7 @@
 			e.log.Warn("upstream cannot be read", zap.String("row", r.Key), zap.Error(err))
 			continue
 		}
+		u.Row = r.Version
 		if e.listings.Note(r.Key, newListing(u), v) {
 			news = true
 			log("upstream", zap.String("id", r.Key), zap.String("service", string(u.Service)), zap.String("address", u.Address),
--- a/protocol/dispatch/attempt.go
+++ b/protocol/dispatch/attempt.go
@@ -257,9 +257,9 @@
 	if j.workspace != nil {
 		workspace = string(j.workspace.Name)
 	}
-	d.Log.Info("answered", zap.String("request", j.ID), zap.String("route", j.route.Name), zap.String("upstream", string(j.choice.ID)),
+	d.Log.Info("answered", append(d.decidedOn(j), zap.String("request", j.ID), zap.String("route", j.route.Name), zap.String("upstream", string(j.choice.ID)),
 		zap.String("workspace", workspace), zap.Float64("units", j.units),
 		zap.Int("status", a.Status), zap.String("adapter", string(j.Adapter.Name)), zap.Int64("version", int64(j.choice.Version)),
 		zap.Duration("waited", sent-j.Arrived), zap.Duration("took", d.Timer.Boot()-sent), zap.Duration("predicted", j.choice.First),
-		zap.Int("busy", j.choice.Busy.Running), zap.Int("sends", j.sends), zap.Error(err))
+		zap.Int("busy", j.choice.Busy.Running), zap.Int("sends", j.sends), zap.Error(err))...)
 }
--- a/protocol/dispatch/dispatch.go
+++ b/protocol/dispatch/dispatch.go
@@ -112,6 +112,9 @@
 	Ends func() time.Duration
 	// Peers returns the number of other instances.
 	Peers func() int
+	// Ages returns how long ago the configuration and the list of upstreams were
+	// known to be the newest.
+	Ages func() (configuration, upstreams time.Duration)
 	// Draw returns a random number from 0 up to, not including, 1.
 	Draw func() float64
 	// Budget bounds the sends beyond the first of each request.
@@ -154,9 +157,11 @@
 // job is a request with what was decided about it.
 type job struct {
 	*Request
-	route     *route.Route
-	service   *route.Service
-	workspace *route.Workspace
+	// configuration is the version that the request was admitted under.
+	configuration route.Version
+	route         *route.Route
+	service       *route.Service
+	workspace     *route.Workspace
 	// until is the instant at which the caller gets a final answer, firstBy the
 	// one until which it waits for the first part.
 	until, firstBy time.Duration
@@ -227,6 +232,20 @@
 	return func() { close(done); stop() }
 }
 
+// decidedOn are the log fields of the rows that a request was decided on, and how
+// long ago these were known to be the newest.
+func (d *Dispatcher) decidedOn(j *job) []zap.Field {
+	configuration, upstreams := d.Ages()
+	f := []zap.Field{zap.Duration("configuration-age", configuration), zap.Duration("upstreams-age", upstreams)}
+	switch t := d.Table(); {
+	case j != nil:
+		f = append(f, zap.Int64("configuration", int64(j.configuration)), zap.Int64("upstream-row", int64(j.choice.Row)))
+	case t != nil:
+		f = append(f, zap.Int64("configuration", int64(t.Version)))
+	}
+	return f
+}
+
 func (d *Dispatcher) logRefusal(q *Request, j *job, err error) {
 	r := refusal.As(err)
 	if errors.Is(err, ErrCut) {
@@ -236,9 +255,7 @@
 		zap.String("request", q.ID), zap.String("code", string(r.Code)), zap.Int("status", r.Status), zap.Stringer("run", r.Run),
 		zap.String("reason", r.Text), zap.Duration("age", d.Timer.Boot()-q.Arrived), zap.Duration("retry-after", r.RetryAfter),
 	}
-	if t := d.Table(); t != nil {
-		f = append(f, zap.Int64("configuration", int64(t.Version)))
-	}
+	f = append(f, d.decidedOn(j)...)
 	if j != nil {
 		if j.workspace != nil {
 			f = append(f, zap.String("workspace", string(j.workspace.Name)), zap.Float64("units", j.units))
--- a/protocol/dispatch/dispatch_test.go
+++ b/protocol/dispatch/dispatch_test.go
@@ -80,7 +80,7 @@
 		Grant: func(_ context.Context, id pool.ID, _ pool.Adapter, _ route.Version, _ pool.Use) (time.Duration, error) {
 			return b.grant(id)
 		},
-		Lost: func(pool.ID, pool.Adapter) {}, Send: b.send, Peers: func() int { return 0 }, Ends: func() time.Duration { return b.ends }, Draw: func() float64 { return 0.5 },
+		Lost: func(pool.ID, pool.Adapter) {}, Send: b.send, Peers: func() int { return 0 }, Ages: func() (time.Duration, time.Duration) { return 0, 0 }, Ends: func() time.Duration { return b.ends }, Draw: func() float64 { return 0.5 },
 		Budget:  retry.New(),
 		Metrics: dispatch.NewMetrics(prometheus.NewRegistry()),
 	})
--- a/state/pool/pool.go
+++ b/state/pool/pool.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"gentiangauge.example/gentiangauge/state/mirror"
 	"gentiangauge.example/gentiangauge/state/route"
 )
 
@@ -54,6 +55,8 @@
 	Service route.ServiceName
 	Address string
 	Zone    string
+	// Row is the version of the row that says so.
+	Row mirror.Version
 	// Born is the start of the upstream's process in Unix milliseconds.
 	Born  int64
 	Slots int
