entry: rows are asked for where they are known, not of an instance that starts

Cause: an instance that starts reads the tables itself. The versions that it then tells are those of the rows, so that it seems to know newer rows than all others, which count the last change that matters; and it alone knows the row that it has just written. All others ask it at once.

Change: beats tell a digest of what is known of the upstreams; instances that agree take over the version without a question.

--- a/coordination/gossip/beat.go
+++ b/coordination/gossip/beat.go
@@ -51,6 +51,9 @@
 	Uptime time.Duration
 	// Versions are the versions of the mirrored tables, by the tag of the table.
 	Versions map[pool.Tag]mirror.Version
+	// Listings stands for what the instance knows of the upstreams, up to the
+	// version that it tells of their table.
+	Listings uint64
 	// Lease is the version of the instance's lease, Surrendered is set when
 	// it gives no orders under it.
 	Lease       mirror.Version
@@ -87,6 +90,7 @@
 	Reading     bool   `protobuf:"varint,30,opt,name=reading,proto3"`
 	Front       string `protobuf:"bytes,12,opt,name=front,proto3"`
 	Peer        string `protobuf:"bytes,13,opt,name=peer,proto3"`
+	Listings    uint64 `protobuf:"fixed64,31,opt,name=listings,proto3"`
 	// Versions are in the order of Tables, units in that of Workspaces.
 	Tables     []uint32  `protobuf:"fixed32,14,rep,packed,name=tables,proto3"`
 	Versions   []int64   `protobuf:"varint,15,rep,packed,name=versions,proto3"`
@@ -131,7 +135,7 @@
 	m := &beatMessage{
 		Name: b.Name, Run: b.Run, Sequence: b.Sequence, Serving: b.Serving, UptimeMs: b.Uptime.Milliseconds(),
 		Lease: int64(b.Lease), Surrendered: b.Surrendered, Loading: int64(b.Loading),
-		Zone: b.Zone, Unsteady: b.StoreUnsteady, Reading: b.Reading, Front: b.Front, Peer: b.Peer,
+		Zone: b.Zone, Unsteady: b.StoreUnsteady, Reading: b.Reading, Front: b.Front, Peer: b.Peer, Listings: b.Listings,
 	}
 	for t, v := range b.Versions {
 		m.Tables, m.Versions = append(m.Tables, uint32(t)), append(m.Versions, int64(v))
@@ -181,7 +185,7 @@
 	b := Beat{
 		Name: m.Name, Run: m.Run, Sequence: m.Sequence, Serving: m.Serving, Uptime: time.Duration(m.UptimeMs) * time.Millisecond,
 		Lease: mirror.Version(m.Lease), Surrendered: m.Surrendered, Loading: int(m.Loading),
-		Zone: m.Zone, StoreUnsteady: m.Unsteady, Reading: m.Reading, Front: m.Front, Peer: m.Peer,
+		Zone: m.Zone, StoreUnsteady: m.Unsteady, Reading: m.Reading, Front: m.Front, Peer: m.Peer, Listings: m.Listings,
 		Versions: map[pool.Tag]mirror.Version{}, Spent: map[pool.Tag]float64{}, Sent: map[pool.Tag]retry.Count{},
 	}
 	for i := range min(len(m.Tables), len(m.Versions)) {
--- a/entry/currency.go
+++ b/entry/currency.go
@@ -24,10 +24,26 @@
 	logged bool
 }
 
-// noteVersions takes over the versions of tables that another instance tells.
+// noteVersions takes over the versions of tables that another instance tells, and
+// has the tables followed of which it knows newer rows.
 func (e *Entry) noteVersions(b gossip.Beat, now time.Duration) {
 	for t, x := range e.currency {
-		x.Told(e.version(t), b.Versions[pool.NewTag(t)], b.Name, b.Reading && !b.StoreUnsteady, now)
+		theirs := b.Versions[pool.NewTag(t)]
+		if t == e.Tables.Upstreams && theirs > e.version(t) && e.listings.Agree(theirs, b.Listings) {
+			e.learned(t)
+		}
+		own, s := e.version(t), newSource(b)
+		if theirs > own && !s.Tells(now-e.began) {
+			continue
+		}
+		x.Told(own, theirs, b.Name, s.Reads && s.Steady, now)
+		if theirs <= own {
+			continue
+		}
+		select {
+		case e.wakes[t] <- struct{}{}:
+		default:
+		}
 	}
 }
 
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -179,6 +179,7 @@
 	for t := range e.feeds {
 		b.Versions[pool.NewTag(t)] = e.version(t)
 	}
+	b.Versions[pool.NewTag(e.Tables.Upstreams)], b.Listings = e.listings.Told()
 	for id, k := range e.ownership.Owned(now) {
 		e.pool.ForgetOthers(id)
 		held, recent := e.pool.Held(id)
@@ -213,7 +214,6 @@
 	}
 	e.introduce(b)
 	e.noteVersions(b, now)
-	e.wakeFollowers(b)
 	e.pool.SetPeer(b.Name, b.Work)
 	e.quota.heard(b, now-e.began, now)
 	e.retries.Heard(retry.Instance{Name: b.Name, Run: b.Run}, b.Sent)
--- a/entry/readers.go
+++ b/entry/readers.go
@@ -23,6 +23,9 @@
 	rowsCallTime = 800 * time.Millisecond
 	// rowsRetry is the pause after rows could not be read from another instance.
 	rowsRetry = 200 * time.Millisecond
+	// failedTime is how long an instance that did not answer is asked after all
+	// others, longer than it is heard if it has ended.
+	failedTime = 3 * time.Second
 	// spreadTime spreads the calls of all instances that hear of new rows at the
 	// same time.
 	spreadTime = 40 * time.Millisecond
@@ -62,101 +65,108 @@
 	return at != 0 && e.timer.Boot()-time.Duration(at) < feed.SettleTime
 }
 
+// follower takes the newer rows of a table from other instances.
+type follower struct {
+	entry *Entry
+	table string
+	// failed is the instant until which an instance that did not answer is asked
+	// after all others.
+	failed map[string]time.Duration
+}
+
 // follow takes the newer rows of a table from other instances until c ends.
 func (e *Entry) follow(c context.Context, table string) {
-	wake := e.wakes[table]
+	f := &follower{entry: e, table: table, failed: map[string]time.Duration{}}
 	for c.Err() == nil {
 		n, stop := e.timer.Notify(houseInterval)
 		select {
 		case <-n:
-		case <-wake:
+		case <-e.wakes[table]:
 		case <-c.Done():
 		}
 		stop()
-		e.catchUp(c, table)
+		f.catchUp(c)
 	}
 }
 
-// wakeFollowers has the tables followed of which a beat tells newer rows.
-func (e *Entry) wakeFollowers(b gossip.Beat) {
-	for t, wake := range e.wakes {
-		if b.Versions[pool.NewTag(t)] <= e.version(t) {
-			continue
-		}
-		select {
-		case wake <- struct{}{}:
-		default:
-		}
-	}
+// newSource returns what a beat tells of its instance as one that may be asked for
+// rows.
+func newSource(b gossip.Beat) reader.Source {
+	return reader.Source{Name: b.Name, Zone: b.Zone, Uptime: b.Uptime, Reads: b.Reading, Steady: !b.StoreUnsteady}
 }
 
-// ahead returns the live peer to ask for newer rows: one of this availability
-// zone if any of them has some, as bytes between zones are paid for.
-func (e *Entry) ahead(table string) (peer gossip.Peer, found bool) {
-	mine, t := e.version(table), pool.NewTag(table)
-	var best *gossip.Peer
-	for _, p := range e.gossip.Live(e.timer.Boot()) {
-		v := p.Versions[t]
-		if v <= mine {
+// ahead returns the live peer to ask for newer rows.
+func (f *follower) ahead(now time.Duration) (name string, found bool) {
+	e, own, t := f.entry, f.entry.version(f.table), pool.NewTag(f.table)
+	var l []reader.Source
+	for _, p := range e.gossip.Live(now) {
+		s := newSource(p.Beat)
+		if p.Versions[t] <= own || !s.Tells(now-e.began) {
 			continue
 		}
-		near := p.Zone == e.Zone
-		switch {
-		case best == nil, near && best.Zone != e.Zone, near == (best.Zone == e.Zone) && v > best.Versions[t]:
-			best = p
-		}
-	}
-	if best == nil {
-		return gossip.Peer{}, false
+		s.Failed = now < f.failed[p.Name]
+		l = append(l, s)
 	}
-	return *best, true
+	x, ok := reader.Self{Name: e.Name, Zone: e.Zone}.Ask(l)
+	return x.Name, ok
 }
 
 // catchUp asks a live peer for rows that this instance does not know. A reader
 // gets them from the store, unless that fails.
-func (e *Entry) catchUp(c context.Context, table string) {
-	f := e.feeds[table]
-	if _, ok := e.ahead(table); !ok || !f.Mirror.Loaded() && !f.Failing() {
+func (f *follower) catchUp(c context.Context) {
+	e, x := f.entry, f.entry.feeds[f.table]
+	if _, ok := f.ahead(e.timer.Boot()); !ok || !x.Mirror.Loaded() && !x.Failing() {
 		return
 	}
-	if e.reads.Load() && !f.Failing() {
-		_ = e.timer.Wait(c, f.Gap+behindTime)
+	if e.reads.Load() && !x.Failing() {
+		_ = e.timer.Wait(c, x.Gap+behindTime)
 	} else {
 		_ = e.timer.Wait(c, time.Duration(rand.Int64N(int64(spreadTime))))
 	}
 	// The rows may have come meanwhile.
-	p, ok := e.ahead(table)
+	name, ok := f.ahead(e.timer.Boot())
 	if !ok {
 		return
 	}
-	m, ok := e.members.get(p.Name)
+	m, ok := e.members.get(name)
 	if !ok {
 		return
 	}
-	r, err := e.askRows(c, m, table, e.version(table))
-	if err != nil {
-		e.log.Warn("newer rows cannot be read", zap.String("table", table), zap.String("from", p.Name), zap.Error(err))
+	if err := e.takeNewer(c, m, f.table); err != nil {
+		e.log.Warn("newer rows cannot be read", zap.String("table", f.table), zap.String("from", name), zap.Error(err))
 		e.mesh.Disconnect(m.peer.String())
+		f.failed[name] = e.timer.Boot() + failedTime
 		_ = e.timer.Wait(c, rowsRetry)
 		return
 	}
+	delete(f.failed, name)
+}
+
+// takeNewer takes over the rows of a table that an instance has and this one does
+// not know.
+func (e *Entry) takeNewer(c context.Context, m member, table string) error {
+	f := e.feeds[table]
+	r, err := e.askRows(c, m, table, e.version(table))
+	if err != nil {
+		return err
+	}
 	if table != e.Tables.Upstreams {
 		f.Learn(r.mirrorRows(), mirror.Version(r.Version), r.Steady)
 		e.learned(table)
-		return
+		return nil
 	}
 	e.takeUpstreams(f.Mirror.Apply(r.mirrorRows(), mirror.Version(r.Version)), r.since(), r.Steady)
 	e.listings.Reach(mirror.Version(r.Version))
 	e.learned(table)
 	if e.listings.Digest() == r.Digest {
-		return
+		return nil
 	}
-	e.log.Info("rows differ; all are read", zap.String("table", table), zap.String("from", p.Name))
+	e.log.Info("rows differ; all are read", zap.String("table", table), zap.String("from", m.peer.String()))
 	if r, err = e.askRows(c, m, table, 0); err != nil {
-		e.log.Warn("rows cannot be read", zap.String("table", table), zap.String("from", p.Name), zap.Error(err))
-		return
+		return err
 	}
 	e.takeUpstreams(f.Mirror.Replace(r.mirrorRows(), mirror.Version(r.Version)), r.since(), r.Steady)
+	return nil
 }
 
 // askRows asks an instance for the rows of a table after a version.
--- a/state/mirror/marks.go
+++ b/state/mirror/marks.go
@@ -55,6 +55,26 @@
 	return m.newest
 }
 
+// Told returns the version up to which the changes are known and the digest of
+// them, of one moment.
+func (m *Marks[X]) Told() (Version, uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.newest, m.digest
+}
+
+// Agree takes over the version of an instance that knows the same of all rows, by
+// its digest, and reports whether it does.
+func (m *Marks[X]) Agree(v Version, digest uint64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if digest != m.digest {
+		return false
+	}
+	m.newest = max(m.newest, v)
+	return true
+}
+
 // Digest is the same for two instances that know the same of all rows.
 func (m *Marks[X]) Digest() uint64 {
 	m.mu.Lock()
