entry: read the store when peers do not hand newer rows out in time

Cause: an instance that leaves the reading to others had no bound on how long it waits for rows that it knows to exist. Calls between instances can fail while beats arrive: a busy or lossy link, a peer that is frozen or has just ended. It asked on for ever, up to 1 s a call, and never the store.

Change: after 350 ms behind what others tell, an instance reads the table from the store itself until it has caught up. One rule for all three tables; who reads in the first place does not change.

--- a/entry/currency.go
+++ b/entry/currency.go
@@ -16,6 +16,11 @@
 // logged that they are missing. They usually come within a tenth of it.
 const behindLog = 500 * time.Millisecond
 
+// maxBehind is the time for which an instance waits for rows that others are known
+// to have before it reads them from the store: a sixth of the shortest time in which
+// a leaving upstream must get no more requests, of which the readers use up to a half.
+const maxBehind = 350 * time.Millisecond
+
 // currency is how current the copy of one table is.
 type currency struct {
 	freshness.Table
@@ -63,6 +68,16 @@
 	}
 }
 
+// readsTable reports whether this instance reads a table from the store: it reads
+// for its availability zone, or others know rows that it cannot get from them in
+// time.
+//
+// Load pattern: the links of some instances are busy or lose packets, so that calls
+// between instances do not end while beats still arrive.
+func (e *Entry) readsTable(table string) bool {
+	return e.reads.Load() || e.currency[table].State(e.timer.Boot()).Behind >= maxBehind
+}
+
 // logCurrency logs once for each table that newer rows are known and missing, with
 // what is needed to tell why: who told of them, and whether this instance reads the
 // store itself.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -170,7 +170,7 @@
 		ownership.FleetTable:   e.fleetChanged,
 	} {
 		f := feed.New(table, e.Store, e.timer, log, changed)
-		f.Reads, f.PeersUnsteady, f.Answered = e.reads.Load, e.peersUnsteady, func() { e.readFromStore(table) }
+		f.Reads, f.PeersUnsteady, f.Answered = func() bool { return e.readsTable(table) }, e.peersUnsteady, func() { e.readFromStore(table) }
 		e.feeds[table], e.wakes[table], e.currency[table] = f, make(chan struct{}, 1), &currency{}
 	}
 	e.feeds[e.Tables.Upstreams].Gap = upstreamGap
