feed: take rows over one after the other, and in the order of their changes

Rows of a table come from the store and from other instances at the same time. The copy kept the newer version of a row, but what followed from it was done outside the lock: an upstream that is known to leave could be put back in use by the older row until its next change. And an instance that was asked while it took rows over in no order told a version of which it did not yet know all rows.

Change: rows are taken over under one lock, with what follows from them, and those of upstreams in the order of their changes.

--- a/coordination/feed/feed.go
+++ b/coordination/feed/feed.go
@@ -46,7 +46,9 @@
 	timer *timer.Service
 	log   *zap.Logger
 
-	mu sync.Mutex
+	// taking is held while rows are taken over.
+	taking sync.Mutex
+	mu     sync.Mutex
 	// failing is set from the first failed call to the next good one.
 	failing bool
 	// restored is the instant of the good call after the last failure, and
@@ -124,31 +126,48 @@
 		if err != nil {
 			return err
 		}
-		f.deliver(f.Mirror.Replace(rows, v))
+		f.ReplaceAll(rows, v, f.deliver)
 		return nil
 	}
 	rows, v, err := f.store.Watch(c, f.Table, f.Mirror.Version())
 	if err != nil {
 		return err
 	}
-	f.deliver(f.Mirror.Apply(rows, v))
+	f.Take(rows, v, f.deliver)
 	return nil
 }
 
 // Learn takes over rows that another instance has read, complete up to a
 // version. Steady is as that instance found it.
 func (f *Feed) Learn(rows []mirror.Row, upTo mirror.Version, steady bool) {
+	f.Take(rows, upTo, func(l []mirror.Row) { f.Changed(l, steady) })
+}
+
+// Take takes over rows that are complete up to a version, and calls changed with
+// those that are newer than the copy's. Rows that come at the same time from the
+// store and from an instance are taken over one after the other, or changed could
+// end with the older of two versions of a row.
+func (f *Feed) Take(rows []mirror.Row, upTo mirror.Version, changed func(rows []mirror.Row)) {
+	f.taking.Lock()
+	defer f.taking.Unlock()
 	if l := f.Mirror.Apply(rows, upTo); len(l) > 0 {
-		f.Changed(l, steady)
+		changed(l)
 	}
 }
 
-func (f *Feed) deliver(rows []mirror.Row) {
-	if len(rows) > 0 {
-		f.Changed(rows, f.Steady())
+// ReplaceAll takes over a whole table as of a version, as Take does.
+func (f *Feed) ReplaceAll(rows []mirror.Row, asOf mirror.Version, changed func(rows []mirror.Row)) {
+	f.taking.Lock()
+	defer f.taking.Unlock()
+	if l := f.Mirror.Replace(rows, asOf); len(l) > 0 {
+		changed(l)
 	}
 }
 
+func (f *Feed) deliver(rows []mirror.Row) {
+	f.Changed(rows, f.Steady())
+}
+
 func (f *Feed) contact(good bool, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/coordination/feed/feed_test.go
+++ b/coordination/feed/feed_test.go
@@ -114,6 +114,44 @@
 	b.until("the new row", b.knows("new", true))
 }
 
+// TestOlderRowIsNotTakenOverAfterANewerOne takes a row over from the store while a
+// newer version of it comes from another instance.
+func TestOlderRowIsNotTakenOverAfterANewerOne(t *testing.T) {
+	began, release := make(chan struct{}), make(chan struct{})
+	var mu sync.Mutex
+	var taken []mirror.Version
+	f := feed.New("t", memory.New().Client(), timer.New(), zap.NewNop(), func(rows []mirror.Row, _ bool) {
+		if rows[0].Version == 1 {
+			close(began)
+			<-release
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		taken = append(taken, rows[0].Version)
+	})
+	learn := func(v mirror.Version) chan struct{} {
+		done := make(chan struct{})
+		go func() {
+			f.Learn([]mirror.Row{{Key: "k", Version: v}}, v, true)
+			close(done)
+		}()
+		return done
+	}
+	first := learn(1)
+	<-began
+	second := learn(2)
+	select {
+	case <-second:
+	case <-time.After(100 * time.Millisecond):
+	}
+	close(release)
+	<-first
+	<-second
+	if len(taken) != 2 || taken[0] != 1 || taken[1] != 2 {
+		t.Errorf("taken over in the order %v", taken)
+	}
+}
+
 // TestInstanceThatHasJustStartedIsSteady replays pdl-central trouble-3, where
 // an instance that had just been restarted kept a leaving upstream for two
 // seconds too long.
--- a/entry/readers.go
+++ b/entry/readers.go
@@ -155,7 +155,8 @@
 		e.learned(table)
 		return nil
 	}
-	e.takeUpstreams(f.Mirror.Apply(r.mirrorRows(), mirror.Version(r.Version)), r.since(), r.Steady)
+	take := func(rows []mirror.Row) { e.takeUpstreams(rows, r.since(), r.Steady) }
+	f.Take(r.mirrorRows(), mirror.Version(r.Version), take)
 	e.listings.Reach(mirror.Version(r.Version))
 	e.learned(table)
 	if e.listings.Digest() == r.Digest {
@@ -165,7 +166,7 @@
 	if r, err = e.askRows(c, m, table, 0); err != nil {
 		return err
 	}
-	e.takeUpstreams(f.Mirror.Replace(r.mirrorRows(), mirror.Version(r.Version)), r.since(), r.Steady)
+	f.ReplaceAll(r.mirrorRows(), mirror.Version(r.Version), take)
 	return nil
 }
 
--- a/entry/rows.go
+++ b/entry/rows.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"cmp"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -98,11 +100,17 @@
 // they are not those of the rows.
 func (e *Entry) takeUpstreams(rows []mirror.Row, since map[string]mirror.Version, steady bool) (news bool) {
 	now, log := e.timer.Boot(), e.rowLog("upstreams", rows)
-	for _, r := range rows {
-		id, v := pool.ID(r.Key), r.Version
+	changedAt := func(r mirror.Row) mirror.Version {
 		if x, ok := since[r.Key]; ok {
-			v = x
+			return x
 		}
+		return r.Version
+	}
+	// In the order of the changes, since an instance that asks meanwhile is told
+	// that it knows all up to the newest one noted.
+	slices.SortFunc(rows, func(x, y mirror.Row) int { return cmp.Compare(changedAt(x), changedAt(y)) })
+	for _, r := range rows {
+		id, v := pool.ID(r.Key), changedAt(r)
 		if r.Removed {
 			news = e.listings.Note(r.Key, listing{}, v) || news
 			e.removeUpstream(id, now, steady)
