admission: look at an upstream again just before anything is sent to it

Cause: an upstream is chosen, and then the request waits for its owner's answer and for the load of its adapter, seconds while the weight store is busy. It was sent by the choice of before. The same for an order after a report or an unload.

Change: coordination/admission is asked just before each send, resume, retry and order; the decision is pool.Admits, which choices use too. A request that is withheld is placed anew; it costs no retry, since nothing arrived.

--- /dev/null
+++ b/coordination/admission/admission.go
@@ -0,0 +1,37 @@
+// Package admission stands before every way to an upstream: requests, resumed
+// streams, retries, reports and orders ask it just before they are sent.
+package admission
+
+import (
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"gentiangauge.example/gentiangauge/state/pool"
+	"gentiangauge.example/gentiangauge/timer"
+)
+
+// ErrWithheld says that nothing was sent, since the upstream takes nothing more.
+var ErrWithheld = eris.New("the upstream takes nothing more")
+
+// Admission decides by what a pool knows at the instant of the act.
+type Admission struct {
+	pool  *pool.Pool
+	timer *timer.Service
+	log   *zap.Logger
+}
+
+// New returns the admission to the upstreams of a pool.
+func New(p *pool.Pool, t *timer.Service, log *zap.Logger) *Admission {
+	return &Admission{pool: p, timer: t, log: log.Named("admission")}
+}
+
+// Check fails with ErrWithheld if something must not be sent to an upstream now.
+// What is a request's id, or names the call.
+func (a *Admission) Check(u pool.Upstream, what string) error {
+	v := a.pool.Admits(u, a.timer.Boot())
+	if v == pool.Admitted {
+		return nil
+	}
+	a.log.Info("withheld", zap.String("request", what), zap.String("upstream", string(u.ID)), zap.Stringer("why", v), zap.Int64("upstream-row", int64(u.Row)))
+	return eris.Wrap(ErrWithheld, v.String())
+}
--- a/coordination/orders/orders.go
+++ b/coordination/orders/orders.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"gentiangauge.example/gentiangauge/coordination/admission"
 	"gentiangauge.example/gentiangauge/coordination/ownership"
 	"gentiangauge.example/gentiangauge/state/pool"
 	"gentiangauge.example/gentiangauge/state/route"
@@ -43,7 +44,9 @@
 
 // Services are the parts that the orders work with.
 type Services struct {
-	Engines   *Engines
+	Engines *Engines
+	// Admission is asked before each report and order.
+	Admission *admission.Admission
 	Timer     *timer.Service
 	Pool      *pool.Pool
 	Ownership *ownership.Ownership
@@ -179,7 +182,7 @@
 		return err
 	}
 	u, ok := o.Pool.Get(id, now)
-	if !ok || u.Draining {
+	if !ok || o.Pool.Admits(u, now) != pool.Admitted {
 		return ErrUnsure
 	}
 	if u.Born != e.upstream.Born {
@@ -261,6 +264,10 @@
 		return 0, ownership.ErrNotOwner
 	}
 	q.Upstream, q.Sequence, q.Token = e.upstream, e.sequence, t
+	if err := o.Admission.Check(q.Upstream, "order"); err != nil {
+		e.synced = false
+		return 0, eris.Wrap(ErrUnsure, err.Error())
+	}
 	x, cancel := context.WithTimeout(context.WithoutCancel(c), orderTime)
 	defer cancel()
 	a, err := o.Engines.Order(x, q)
--- a/coordination/orders/orders_test.go
+++ b/coordination/orders/orders_test.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"gentiangauge.example/gentiangauge/coordination/admission"
 	"gentiangauge.example/gentiangauge/coordination/gossip"
 	"gentiangauge.example/gentiangauge/coordination/orders"
 	"gentiangauge.example/gentiangauge/coordination/ownership"
@@ -65,7 +66,7 @@
 	})
 	b.pass(2 * time.Second)
 	b.orders = orders.New(t.Context(), timing, orders.Services{
-		Engines: &orders.Engines{Report: b.report, Order: b.order}, Timer: k, Pool: b.pool, Ownership: b.owner, Log: zap.NewNop(),
+		Engines: &orders.Engines{Report: b.report, Order: b.order}, Timer: k, Pool: b.pool, Ownership: b.owner, Log: zap.NewNop(), Admission: admission.New(b.pool, k, zap.NewNop()),
 		Engine:  func(route.ServiceName) (*route.Engine, bool) { return &n, true },
 		Loading: func() int { return loading },
 		Age:     func() time.Duration { return b.age },
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"gentiangauge.example/gentiangauge/coordination/admission"
 	"gentiangauge.example/gentiangauge/coordination/feed"
 	"gentiangauge.example/gentiangauge/coordination/gossip"
 	"gentiangauge.example/gentiangauge/coordination/orders"
@@ -182,8 +183,9 @@
 		Store: e.Store, Timer: e.timer, Gossip: e.gossip, Pool: e.pool, Log: log,
 		Wanted: func(u pool.Upstream) bool { _, ok := e.engine(u.Service); return ok && !u.Draining },
 	})
+	a := admission.New(e.pool, e.timer, log)
 	e.orders = orders.New(e.life, e.Timing, orders.Services{
-		Engines: e.Engines, Timer: e.timer, Pool: e.pool, Ownership: e.ownership, Log: log,
+		Engines: e.Engines, Admission: a, Timer: e.timer, Pool: e.pool, Ownership: e.ownership, Log: log,
 		Engine: e.engine, Loading: e.loading, Age: func() time.Duration { return 2 * usage.Interval },
 	})
 	e.Dispatcher = dispatch.New(e.Config.Dispatch, dispatch.Services{
@@ -191,10 +193,10 @@
 		Take:   func(w *route.Workspace, n float64) error { return e.quota.take(w, n, e.timer.Boot()) },
 		Return: func(w *route.Workspace, n float64) { e.quota.giveBack(w, n, e.timer.Boot()) },
 		Load:   e.load, Grant: e.grant, Orderable: e.orderable, Lost: e.lost, Send: e.Send, Draw: rand.Float64,
-		Ends:    func() time.Duration { return time.Duration(e.ends.Load()) },
-		Peers:   func() int { return int(e.peers.Load()) },
-		Ages:    e.rowAges,
-		Budget:  e.retries,
+		Ends:   func() time.Duration { return time.Duration(e.ends.Load()) },
+		Peers:  func() int { return int(e.peers.Load()) },
+		Ages:   e.rowAges,
+		Budget: e.retries, Admission: a,
 		Metrics: dispatch.NewMetrics(r),
 	})
 }
--- a/protocol/dispatch/attempt.go
+++ b/protocol/dispatch/attempt.go
@@ -43,6 +43,12 @@
 			return d.final(c, j, last, err)
 		}
 		j.choice = h
+		if err = d.Admission.Check(h.Upstream, j.ID); err != nil {
+			d.end(j, h.ID)
+			j.avoid[h.ID] = true
+			last = err
+			continue
+		}
 		err = d.send(c, w, j)
 		d.end(j, h.ID)
 		if err == nil || errors.Is(err, ErrCut) {
--- a/protocol/dispatch/dispatch.go
+++ b/protocol/dispatch/dispatch.go
@@ -16,6 +16,7 @@
 
 	"go.uber.org/zap"
 
+	"gentiangauge.example/gentiangauge/coordination/admission"
 	"gentiangauge.example/gentiangauge/refusal"
 	"gentiangauge.example/gentiangauge/state/pool"
 	"gentiangauge.example/gentiangauge/state/retry"
@@ -117,6 +118,8 @@
 	Ages func() (configuration, upstreams time.Duration)
 	// Draw returns a random number from 0 up to, not including, 1.
 	Draw func() float64
+	// Admission is asked before each send.
+	Admission *admission.Admission
 	// Budget bounds the sends beyond the first of each request.
 	Budget *retry.Budget
 	// Metrics count the outcomes.
--- a/protocol/dispatch/dispatch_test.go
+++ b/protocol/dispatch/dispatch_test.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
+	"gentiangauge.example/gentiangauge/coordination/admission"
 	"gentiangauge.example/gentiangauge/coordination/orders"
 	"gentiangauge.example/gentiangauge/protocol/dispatch"
 	"gentiangauge.example/gentiangauge/refusal"
@@ -81,7 +82,7 @@
 			return b.grant(id)
 		},
 		Lost: func(pool.ID, pool.Adapter) {}, Send: b.send, Peers: func() int { return 0 }, Ages: func() (time.Duration, time.Duration) { return 0, 0 }, Ends: func() time.Duration { return b.ends }, Draw: func() float64 { return 0.5 },
-		Budget:  retry.New(),
+		Budget: retry.New(), Admission: admission.New(b.pool, b.timer, zap.NewNop()),
 		Metrics: dispatch.NewMetrics(prometheus.NewRegistry()),
 	})
 	return b
@@ -462,3 +463,40 @@
 		t.Errorf("a stream that can be finished is refused: %v", err)
 	}
 }
+
+// TestRequestThatWaitedIsNotSentToALeavingUpstream lets an engine leave, end or start
+// anew while a request waits there for its adapter: another engine runs it.
+func TestRequestThatWaitedIsNotSentToALeavingUpstream(t *testing.T) {
+	for name, leave := range map[string]func(p *pool.Pool, u pool.Upstream, now time.Duration){
+		"leaves": func(p *pool.Pool, u pool.Upstream, _ time.Duration) { u.Draining = true; p.Put(u) },
+		"ends":   func(p *pool.Pool, u pool.Upstream, now time.Duration) { p.Remove(u.ID, now) },
+		"starts": func(p *pool.Pool, u pool.Upstream, _ time.Duration) { u.Born++; p.Put(u) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(2)
+			var left pool.ID
+			b.load = func() (time.Duration, error) {
+				if left != "" {
+					return 0, nil
+				}
+				for _, u := range b.pool.Upstreams(b.timer.Boot()) {
+					if n := b.pool.Own(u.ID); n.Running > 0 {
+						left = u.ID
+						leave(b.pool, u, b.timer.Boot())
+					}
+				}
+				return 30 * time.Millisecond, nil
+			}
+			b.answer = func(int, dispatch.Send) (*dispatch.Answer, error) { return stream(secondHalf, false), nil }
+			if _, err := b.serve("/chat/x"); err != nil {
+				t.Fatal(err)
+			}
+			if left == "" || len(b.sends) != 1 {
+				t.Fatalf("%d sends, left %q", len(b.sends), left)
+			}
+			if u := b.sends[0].Upstream; u.ID == left && u.Born == 0 {
+				t.Errorf("sent to %s, which %s", left, name)
+			}
+		})
+	}
+}
--- a/state/pool/choose.go
+++ b/state/pool/choose.go
@@ -116,7 +116,7 @@
 }
 
 func (e *entry) usable(a Ask, now time.Duration) bool {
-	if e.Draining || !e.there(now) || now < e.health.downUntil {
+	if e.verdict(now) != Admitted || now < e.health.downUntil {
 		return false
 	}
 	if a.Engine == nil {
--- a/state/pool/pool.go
+++ b/state/pool/pool.go
@@ -283,7 +283,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, e := range p.entries {
-		if e.Service == s && !e.Draining && e.there(now) {
+		if e.Service == s && e.verdict(now) == Admitted {
 			return true
 		}
 	}
