contact: one instance without the store does not delay news of upstreams that end

Cause: the removal of a row was believed two seconds after it was known if the store was not reachable lately for the instance, for the one that told it, or, for an instance that had just taken up reading, for any peer. On any unsteady peer did so to every instance of a large fleet.

Change: state/contact decides for how long a missing row may come back. It counts from the end of the outage, not from the moment at which the row is read, and what fewer instances found than vouch for the store is their own trouble. Instances hand the time on in place of a flag; a reader vouches once it has read for the time in which rows return.

--- a/coordination/feed/feed.go
+++ b/coordination/feed/feed.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"gentiangauge.example/gentiangauge/state/contact"
 	"gentiangauge.example/gentiangauge/state/mirror"
 	"gentiangauge.example/gentiangauge/timer"
 	"gentiangauge.example/gentiangauge/transport/store"
@@ -27,9 +28,9 @@
 type Feed struct {
 	Table  string
 	Mirror *mirror.Mirror
-	// Changed is called with the rows that changed, in no order. Steady is not
-	// set while rows that are missing may come back, since the store was away.
-	Changed func(rows []mirror.Row, steady bool)
+	// Changed is called with the rows that changed, in no order. Those that are
+	// missing may come back within settlesIn, since the store was away.
+	Changed func(rows []mirror.Row, settlesIn time.Duration)
 	// Answered is called after each answer of the store, if it is not nil.
 	Answered func()
 	// Gap is the least time between two calls, for tables whose rows change
@@ -38,32 +39,22 @@
 	// Reads reports whether this instance reads the table. Otherwise others
 	// tell it the rows. A nil function means that it does.
 	Reads func() bool
-	// PeersUnsteady reports whether the store was away lately by what others
-	// tell. A nil function means that it was not.
-	PeersUnsteady func() bool
+	// Peers counts the other readers by how they found the store. A nil function
+	// means that there are none.
+	Peers func() contact.Peers
 
 	store *store.Store
 	timer *timer.Service
 	log   *zap.Logger
 
 	// taking is held while rows are taken over.
-	taking sync.Mutex
-	mu     sync.Mutex
-	// failing is set from the first failed call to the next good one.
-	failing bool
-	// restored is the instant of the good call after the last failure, and
-	// resumed that of the last time that this instance took up reading.
-	restored, resumed time.Duration
-	began             bool
+	taking  sync.Mutex
+	mu      sync.Mutex
+	reached contact.Contact
 }
 
-// SettleTime is how long the store has to be reachable before a missing row is
-// believed at once: the two seconds in which rows of living upstreams return, and
-// the delay of a call.
-const SettleTime = 2300 * time.Millisecond
-
 // New returns a feed of a table.
-func New(table string, s *store.Store, t *timer.Service, log *zap.Logger, changed func(rows []mirror.Row, steady bool)) *Feed {
+func New(table string, s *store.Store, t *timer.Service, log *zap.Logger, changed func(rows []mirror.Row, settlesIn time.Duration)) *Feed {
 	return &Feed{Table: table, Mirror: mirror.New(), Changed: changed, store: s, timer: t, log: log.Named("feed").With(zap.String("table", table))}
 }
 
@@ -109,13 +100,13 @@
 	}
 	f.log.Info("others read the table")
 	f.mu.Lock()
-	f.failing = false
+	f.reached.Failing = false
 	f.mu.Unlock()
 	for c.Err() == nil && !f.Reads() {
 		_ = f.timer.Wait(c, dueLook)
 	}
 	f.mu.Lock()
-	f.resumed = f.timer.Boot()
+	f.reached.Since, f.reached.Cause = f.timer.Boot(), contact.Resumed
 	f.mu.Unlock()
 	f.log.Info("reading the table", zap.Int64("from", int64(f.Mirror.Version())))
 }
@@ -138,9 +129,9 @@
 }
 
 // Learn takes over rows that another instance has read, complete up to a
-// version. Steady is as that instance found it.
-func (f *Feed) Learn(rows []mirror.Row, upTo mirror.Version, steady bool) {
-	f.Take(rows, upTo, func(l []mirror.Row) { f.Changed(l, steady) })
+// version. SettlesIn is as that instance found it.
+func (f *Feed) Learn(rows []mirror.Row, upTo mirror.Version, settlesIn time.Duration) {
+	f.Take(rows, upTo, func(l []mirror.Row) { f.Changed(l, settlesIn) })
 }
 
 // Take takes over rows that are complete up to a version, and calls changed with
@@ -165,46 +156,43 @@
 }
 
 func (f *Feed) deliver(rows []mirror.Row) {
-	f.Changed(rows, f.Steady())
+	f.Changed(rows, f.SettlesIn())
 }
 
 func (f *Feed) contact(good bool, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	k, now := &f.reached, f.timer.Boot()
 	switch {
-	case good && f.failing:
-		f.failing = false
-		f.restored = f.timer.Boot()
+	case good && !k.Began:
+		*k = contact.Contact{Began: true, Since: now, Cause: contact.Started}
+	case good && k.Failing:
+		*k = contact.Contact{Began: true, Since: now, Cause: contact.Regained}
 		f.log.Info("store regained")
-	case !good && !f.failing:
-		f.failing = true
+	case !good && !k.Failing:
+		k.Failing = true
 		f.log.Warn("store lost", zap.Error(err))
 	}
-	f.began = f.began || good
 }
 
 // Failing reports whether the last call failed.
 func (f *Feed) Failing() bool {
+	k := f.Contact()
+	return k.Failing || !k.Began
+}
+
+// Contact returns how this instance has reached the store.
+func (f *Feed) Contact() contact.Contact {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.failing || !f.began
+	return f.reached
 }
 
-// Steady reports whether the store has answered without a failure for
-// SettleTime, or since the start: what lapsed before was not in the table that
-// was read then. An instance that has just taken up reading goes by what others
-// found.
-func (f *Feed) Steady() bool {
-	f.mu.Lock()
-	began, failing, restored, resumed := f.began, f.failing, f.restored, f.resumed
-	f.mu.Unlock()
-	now := f.timer.Boot()
-	switch {
-	case !began || failing || restored != 0 && now-restored < SettleTime:
-		return false
-	case resumed != 0 && now-resumed < SettleTime && f.PeersUnsteady != nil:
-		return !f.PeersUnsteady()
-	default:
-		return true
+// SettlesIn returns the time for which a row that is missing now may come back.
+func (f *Feed) SettlesIn() time.Duration {
+	var p contact.Peers
+	if f.Peers != nil {
+		p = f.Peers()
 	}
+	return f.Contact().SettlesIn(p, f.timer.Boot())
 }
--- a/coordination/feed/feed_test.go
+++ b/coordination/feed/feed_test.go
@@ -38,7 +38,7 @@
 		}
 		return true, nil
 	}
-	b.feed = feed.New("t", b.store.Client(), b.timer, zap.NewNop(), func(rows []mirror.Row, _ bool) {
+	b.feed = feed.New("t", b.store.Client(), b.timer, zap.NewNop(), func(rows []mirror.Row, _ time.Duration) {
 		b.mu.Lock()
 		defer b.mu.Unlock()
 		for _, r := range rows {
@@ -120,7 +120,7 @@
 	began, release := make(chan struct{}), make(chan struct{})
 	var mu sync.Mutex
 	var taken []mirror.Version
-	f := feed.New("t", memory.New().Client(), timer.New(), zap.NewNop(), func(rows []mirror.Row, _ bool) {
+	f := feed.New("t", memory.New().Client(), timer.New(), zap.NewNop(), func(rows []mirror.Row, _ time.Duration) {
 		if rows[0].Version == 1 {
 			close(began)
 			<-release
@@ -132,7 +132,7 @@
 	learn := func(v mirror.Version) chan struct{} {
 		done := make(chan struct{})
 		go func() {
-			f.Learn([]mirror.Row{{Key: "k", Version: v}}, v, true)
+			f.Learn([]mirror.Row{{Key: "k", Version: v}}, v, 0)
 			close(done)
 		}()
 		return done
@@ -160,7 +160,7 @@
 	b.put("a")
 	b.start()
 	b.until("the row", b.knows("a", true))
-	b.until("steady", func() bool { return b.feed.Steady() })
+	b.until("steady", func() bool { return b.feed.SettlesIn() == 0 })
 }
 
 func TestFeedIsNotSteadyAfterAnOutage(t *testing.T) {
@@ -171,12 +171,12 @@
 	b.setFaulty(true)
 	b.put("wakes the feed")
 	b.until("failing", b.feed.Failing)
-	if b.feed.Steady() {
+	if b.feed.SettlesIn() == 0 {
 		t.Error("steady while the store does not answer")
 	}
 	b.setFaulty(false)
 	b.until("regained", func() bool { return !b.feed.Failing() })
-	if b.feed.Steady() {
+	if b.feed.SettlesIn() == 0 {
 		t.Error("steady right after the outage")
 	}
 }
--- a/coordination/gossip/beat.go
+++ b/coordination/gossip/beat.go
@@ -44,7 +44,8 @@
 	Front string
 	Peer  string
 	// StoreUnsteady is set while the store fails or has lately, and Reading while
-	// the instance reads the tables of the store itself.
+	// the instance reads the tables of the store and has done so for long enough to
+	// tell that it was not away.
 	StoreUnsteady bool
 	Reading       bool
 	// Uptime is the time since the start.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -130,8 +130,6 @@
 	owners   *owners
 	retries  *retry.Budget
 	reporter *usage.Reports
-	// unsteady is the last instant at which a peer found that the store fails.
-	unsteady atomic.Int64
 }
 
 // New returns an instance that is not started. It fails when the peer address
@@ -165,13 +163,13 @@
 }
 
 func (e *Entry) newFeeds(log *zap.Logger) {
-	for table, changed := range map[string]func(rows []mirror.Row, steady bool){
+	for table, changed := range map[string]func(rows []mirror.Row, settlesIn time.Duration){
 		e.Tables.Configuration: e.configurationChanged,
 		e.Tables.Upstreams:     e.upstreamsChanged,
 		ownership.FleetTable:   e.fleetChanged,
 	} {
 		f := feed.New(table, e.Store, e.timer, log, changed)
-		f.Reads, f.PeersUnsteady, f.Answered = func() bool { return e.readsTable(table) }, e.peersUnsteady, func() { e.readFromStore(table) }
+		f.Reads, f.Peers, f.Answered = func() bool { return e.readsTable(table) }, e.otherReaders, func() { e.readFromStore(table) }
 		e.feeds[table], e.wakes[table], e.currency[table] = f, make(chan struct{}, 1), &currency{}
 	}
 	e.feeds[e.Tables.Upstreams].Gap = upstreamGap
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -10,7 +10,6 @@
 
 	"go.uber.org/zap"
 
-	"gentiangauge.example/gentiangauge/coordination/feed"
 	"gentiangauge.example/gentiangauge/coordination/gossip"
 	"gentiangauge.example/gentiangauge/coordination/ownership"
 	"gentiangauge.example/gentiangauge/state/mirror"
@@ -98,7 +97,7 @@
 }
 
 // fleetChanged takes over rows of members and claims.
-func (e *Entry) fleetChanged(rows []mirror.Row, _ bool) {
+func (e *Entry) fleetChanged(rows []mirror.Row, _ time.Duration) {
 	e.ownership.Changed(rows)
 	log := e.rowLog("fleet", rows)
 	for _, r := range rows {
@@ -164,8 +163,9 @@
 	now := e.timer.Boot()
 	young := e.countPeers(now)
 	lease, surrendered := e.ownership.Lease(now)
+	k := e.feeds[e.Tables.Upstreams].Contact()
 	b := gossip.Beat{
-		Run: e.run, Serving: e.Ready(), Zone: e.Zone, StoreUnsteady: !e.feeds[e.Tables.Upstreams].Steady(), Reading: e.reads.Load(), Uptime: now - e.began, Lease: lease, Surrendered: surrendered,
+		Run: e.run, Serving: e.Ready(), Zone: e.Zone, StoreUnsteady: k.Unsteady(now), Reading: e.reads.Load() && k.Vouches(now), Uptime: now - e.began, Lease: lease, Surrendered: surrendered,
 		Work: e.unowned(), Sent: e.retries.Counts(), Loading: e.orders.Own(), Versions: map[pool.Tag]mirror.Version{},
 	}
 	if b.Uptime < introduceTime {
@@ -209,9 +209,6 @@
 // heard takes over what another instance tells.
 func (e *Entry) heard(b gossip.Beat) {
 	now := e.timer.Boot()
-	if b.StoreUnsteady && b.Uptime > feed.SettleTime {
-		e.unsteady.Store(int64(now))
-	}
 	e.introduce(b)
 	e.noteVersions(b, now)
 	e.pool.SetPeer(b.Name, b.Work)
--- a/entry/readers.go
+++ b/entry/readers.go
@@ -7,8 +7,8 @@
 
 	"go.uber.org/zap"
 
-	"gentiangauge.example/gentiangauge/coordination/feed"
 	"gentiangauge.example/gentiangauge/coordination/gossip"
+	"gentiangauge.example/gentiangauge/state/contact"
 	"gentiangauge.example/gentiangauge/state/mirror"
 	"gentiangauge.example/gentiangauge/state/pool"
 	"gentiangauge.example/gentiangauge/state/reader"
@@ -59,10 +59,18 @@
 	e.reads.Store(now-e.began > settleTime && reader.Reads(reader.Self{Name: e.Name, Zone: e.Zone}, peers))
 }
 
-// peersUnsteady reports whether a peer has lately found that the store fails.
-func (e *Entry) peersUnsteady() bool {
-	at := e.unsteady.Load()
-	return at != 0 && e.timer.Boot()-time.Duration(at) < feed.SettleTime
+// otherReaders counts the other instances that read the store by how they found it.
+func (e *Entry) otherReaders() contact.Peers {
+	var n contact.Peers
+	for _, p := range e.gossip.Live(e.timer.Boot()) {
+		switch {
+		case p.StoreUnsteady && p.Uptime > contact.SettleTime:
+			n.Unsteady++
+		case p.Reading:
+			n.Vouching++
+		}
+	}
+	return n
 }
 
 // follower takes the newer rows of a table from other instances.
@@ -151,11 +159,11 @@
 		return err
 	}
 	if table != e.Tables.Upstreams {
-		f.Learn(r.mirrorRows(), mirror.Version(r.Version), r.Steady)
+		f.Learn(r.mirrorRows(), mirror.Version(r.Version), r.settlesIn())
 		e.learned(table)
 		return nil
 	}
-	take := func(rows []mirror.Row) { e.takeUpstreams(rows, r.since(), r.Steady) }
+	take := func(rows []mirror.Row) { e.takeUpstreams(rows, r.since(), r.settlesIn()) }
 	f.Take(r.mirrorRows(), mirror.Version(r.Version), take)
 	e.listings.Reach(mirror.Version(r.Version))
 	e.learned(table)
@@ -179,7 +187,7 @@
 		return nil, err
 	}
 	e.log.Info("newer rows read", zap.String("table", table), zap.String("from", m.peer.String()), zap.Int("rows", len(r.Rows)),
-		zap.Int64("had", int64(after)), zap.Int64("has", r.Version), zap.Bool("steady", r.Steady))
+		zap.Int64("had", int64(after)), zap.Int64("has", r.Version), zap.Duration("settles-in", r.settlesIn()))
 	return r, nil
 }
 
@@ -189,7 +197,7 @@
 	if !ok {
 		return &rowsReply{}
 	}
-	r := &rowsReply{Version: int64(e.version(table)), Steady: f.Steady()}
+	r := &rowsReply{Version: int64(e.version(table)), SettlesInMs: f.SettlesIn().Milliseconds()}
 	rows := f.Mirror.Since(after)
 	if table != e.Tables.Upstreams {
 		for _, x := range rows {
@@ -221,20 +229,24 @@
 }
 
 // rowsReply is the newer rows of a table. Version is the one up to which they are
-// complete, Digest stands for what matters of all rows, and Steady is not set
-// while rows that are missing may come back.
+// complete, Digest stands for what matters of all rows, and rows that are missing may
+// come back within SettlesInMs.
 type rowsReply struct {
 	mesh.Message
-	Rows    []*rowMessage `protobuf:"bytes,1,rep,name=rows,proto3"`
-	Version int64         `protobuf:"varint,2,opt,name=version,proto3"`
-	Steady  bool          `protobuf:"varint,3,opt,name=steady,proto3"`
-	Digest  uint64        `protobuf:"fixed64,4,opt,name=digest,proto3"`
+	Rows        []*rowMessage `protobuf:"bytes,1,rep,name=rows,proto3"`
+	Version     int64         `protobuf:"varint,2,opt,name=version,proto3"`
+	SettlesInMs int64         `protobuf:"varint,5,opt,name=settles_in_ms,proto3"`
+	Digest      uint64        `protobuf:"fixed64,4,opt,name=digest,proto3"`
 }
 
 func (r *rowsReply) add(x mirror.Row, since mirror.Version) {
 	r.Rows = append(r.Rows, &rowMessage{Key: x.Key, Value: x.Value, Version: int64(x.Version), Removed: x.Removed, Since: int64(since)})
 }
 
+func (r *rowsReply) settlesIn() time.Duration {
+	return time.Duration(r.SettlesInMs) * time.Millisecond
+}
+
 func (r *rowsReply) mirrorRows() []mirror.Row {
 	out := make([]mirror.Row, 0, len(r.Rows))
 	for _, x := range r.Rows {
--- a/entry/rows.go
+++ b/entry/rows.go
@@ -14,10 +14,6 @@
 	"gentiangauge.example/gentiangauge/state/route"
 )
 
-// returnTime is how long after an outage of the store the rows of living
-// upstreams may be missing, as the platform states it.
-const returnTime = 2 * time.Second
-
 // versionState is what is known of an adapter's versions.
 type versionState struct {
 	newest, previous route.Version
@@ -30,7 +26,7 @@
 }
 
 // configurationChanged takes over rows of the operators.
-func (e *Entry) configurationChanged(rows []mirror.Row, _ bool) {
+func (e *Entry) configurationChanged(rows []mirror.Row, _ time.Duration) {
 	for _, r := range rows {
 		switch {
 		case r.Removed:
@@ -89,8 +85,8 @@
 
 // upstreamsChanged takes over the platform's list of upstreams as it was read
 // from the store. The others are told at once of what matters to requests.
-func (e *Entry) upstreamsChanged(rows []mirror.Row, steady bool) {
-	if e.takeUpstreams(rows, nil, steady) {
+func (e *Entry) upstreamsChanged(rows []mirror.Row, settlesIn time.Duration) {
+	if e.takeUpstreams(rows, nil, settlesIn) {
 		e.gossip.Send()
 	}
 }
@@ -98,7 +94,7 @@
 // takeUpstreams takes over rows of the list of upstreams, and reports whether
 // they changed in what matters. Since are the versions of these changes, if
 // they are not those of the rows.
-func (e *Entry) takeUpstreams(rows []mirror.Row, since map[string]mirror.Version, steady bool) (news bool) {
+func (e *Entry) takeUpstreams(rows []mirror.Row, since map[string]mirror.Version, settlesIn time.Duration) (news bool) {
 	now, log := e.timer.Boot(), e.rowLog("upstreams", rows)
 	changedAt := func(r mirror.Row) mirror.Version {
 		if x, ok := since[r.Key]; ok {
@@ -113,7 +109,7 @@
 		id, v := pool.ID(r.Key), changedAt(r)
 		if r.Removed {
 			news = e.listings.Note(r.Key, listing{}, v) || news
-			e.removeUpstream(id, now, steady)
+			e.removeUpstream(id, now, settlesIn)
 			continue
 		}
 		u, err := e.DecodeUpstream(r.Key, r.Value)
@@ -145,13 +141,8 @@
 	return e.log.Debug
 }
 
-// removeUpstream drops an upstream, at once while the store is reachable, and
-// otherwise after the time in which rows of living upstreams return.
-func (e *Entry) removeUpstream(id pool.ID, now time.Duration, steady bool) {
-	at := now
-	if !steady {
-		at += returnTime
-	}
-	e.pool.Remove(id, at)
-	e.log.Info("upstream gone", zap.String("id", string(id)), zap.Duration("in", at-now))
+// removeUpstream drops an upstream, at once unless its row may come back.
+func (e *Entry) removeUpstream(id pool.ID, now, settlesIn time.Duration) {
+	e.pool.Remove(id, now+settlesIn)
+	e.log.Info("upstream gone", zap.String("id", string(id)), zap.Duration("in", settlesIn))
 }
