--- a/state/mirror/mirror.go
+++ b/state/mirror/mirror.go
@@ -3,6 +3,7 @@
 package mirror
 
 import (
+	"slices"
 	"sync"
 )
 
@@ -53,12 +54,20 @@
 
 // Replace takes over a whole table as of a version: rows that are missing and
 // not newer have been removed. It returns the rows that changed.
+//
+// An instance that hands out its copy has not been told of a row that changed and
+// changed back. Its older version of the row holds as of the version of the table,
+// against one between the two.
 func (m *Mirror) Replace(rows []Row, asOf Version) []Row {
+	rows = slices.Clone(rows)
 	seen := map[string]bool{}
-	for _, r := range rows {
+	m.mu.Lock()
+	for i, r := range rows {
 		seen[r.Key] = true
+		if old, ok := m.rows[r.Key]; ok && r.Version < old.Version && old.Version < asOf {
+			rows[i].Version = asOf
+		}
 	}
-	m.mu.Lock()
 	for k, r := range m.rows {
 		if !seen[k] && !r.Removed && r.Version <= asOf {
 			rows = append(rows, Row{Key: k, Version: asOf, Removed: true})
--- a/state/mirror/mirror_test.go
+++ b/state/mirror/mirror_test.go
@@ -47,6 +47,22 @@
 	}
 }
 
+// TestWholeTableHoldsAgainstARowThatChangedBack replaces a copy by that of an instance
+// which was not told of a change that was taken back.
+func TestWholeTableHoldsAgainstARowThatChangedBack(t *testing.T) {
+	m := mirror.New()
+	m.Apply([]mirror.Row{row("back", "between", 5), row("newer", "x", 9), row("again", "between", 5)}, 9)
+	m.Replace([]mirror.Row{row("back", "before and after", 3), row("newer", "old", 3), {Key: "again", Version: 3, Removed: true}}, 8)
+	for key, want := range map[string]string{"back": "before and after", "newer": "x"} {
+		if r, _ := find(m, key); string(r.Value) != want {
+			t.Errorf("row %s is %q, want %q", key, r.Value, want)
+		}
+	}
+	if _, there := find(m, "again"); there {
+		t.Error("a removed row is there")
+	}
+}
+
 // TestMirrorsThatExchangeRowsAgree lets two mirrors read the same history in
 // parts and in any order, and then hand each other what the other lacks.
 func TestMirrorsThatExchangeRowsAgree(t *testing.T) {
