admission: heed what upstreams say of themselves in their answers

New in force on the users' machines: an upstream that leaves says so in the head of its answers (DRAIN: nothing more from an instance that has passed one on), and one that turns a request away may say for how long it wants nothing (BUDGET). Neither was read anywhere.

Change: the adapter of the platform decodes both into a notice, of every answer to a request, a report or an order. The pool keeps it beside what the list says, also while the row of the upstream lapses; pool.Admits decides by both, for choices and once more just before anything is sent. An owner that knows grants and loads nothing on such an engine for others. While every upstream of a service pauses, callers are refused at once with the time until the first one takes requests again.

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -1,5 +1,6 @@
 // Package admission stands before every way to an upstream: requests, resumed
-// streams, retries, reports and orders ask it just before they are sent.
+// streams, retries, reports and orders ask it just before they are sent, and hand it
+// what the answers say of the upstream.
 package admission
 
 import (
@@ -35,3 +36,15 @@
 	a.log.Info("withheld", zap.String("request", what), zap.String("upstream", string(u.ID)), zap.Stringer("why", v), zap.Int64("upstream-row", int64(u.Row)))
 	return eris.Wrap(ErrWithheld, v.String())
 }
+
+// Heed takes over what an upstream has said of itself in an answer.
+func (a *Admission) Heed(u pool.Upstream, n pool.Notice, what string) {
+	if n.Unread != "" {
+		a.log.Warn("pause cannot be read", zap.String("request", what), zap.String("upstream", string(u.ID)), zap.String("text", n.Unread))
+	}
+	if n == (pool.Notice{}) || !a.pool.Heed(u, n, a.timer.Boot()) {
+		return
+	}
+	a.log.Info("upstream has said", zap.String("request", what), zap.String("upstream", string(u.ID)), zap.Int64("born", u.Born),
+		zap.Bool("leaving", n.Leaving), zap.Duration("pause", n.Pause))
+}
--- a/coordination/orders/engine.go
+++ b/coordination/orders/engine.go
@@ -62,6 +62,9 @@
 	Report func(c context.Context, u pool.Upstream) (Report, error)
 	// Order fails with ErrNoAnswer.
 	Order func(c context.Context, o Order) (Answer, error)
+	// Heed is called with what an answer says of the engine. It is set by the
+	// orders.
+	Heed func(u pool.Upstream, n pool.Notice)
 }
 
 // Timing is how long engines take to load.
--- a/coordination/orders/orders.go
+++ b/coordination/orders/orders.go
@@ -74,6 +74,7 @@
 	s.Log = s.Log.Named("orders")
 	o := &Orders{Services: s, life: c, workers: map[pool.ID]*worker.Worker[engine]{}, loading: map[pool.ID]int{}}
 	o.SetTiming(t)
+	s.Engines.Heed = func(u pool.Upstream, n pool.Notice) { s.Admission.Heed(u, n, "report or order") }
 	return o
 }
 
@@ -120,7 +121,7 @@
 		return 0, err
 	}
 	h, ok := o.Pool.Holds(id, a)
-	if !ok || h.Version < v {
+	if u, there := o.Pool.Get(id, now); !ok || h.Version < v || !there || o.Pool.Admits(u, now) != pool.Admitted {
 		return 0, ErrAbsent
 	}
 	o.worker(id).Tell(func(e *engine) {
@@ -221,41 +222,6 @@
 	return nil
 }
 
-// reportLag is how far a report may be behind, twice what the platform states.
-const reportLag = 250 * time.Millisecond
-
-// merge takes over what an engine reports, but for what was ordered so lately
-// that the report cannot know.
-func (e *engine) merge(r Report, now, cold time.Duration) {
-	places := map[pool.Adapter]*place{}
-	add := func(a pool.Adapter, v route.Version, readyAt time.Duration) {
-		p, ok := e.places[a]
-		if !ok {
-			p = &place{lastUse: now, scoreAt: now}
-		}
-		if ok && now-p.orderedAt < reportLag || now-e.dropped[a] < reportLag && e.dropped[a] != 0 {
-			return
-		}
-		if !ok || p.left <= 0 || readyAt == 0 {
-			p.left, p.readyAt = max(0, readyAt-now), readyAt
-		}
-		p.version = v
-		places[a] = p
-	}
-	for a, p := range e.places {
-		if now-p.orderedAt < reportLag {
-			places[a] = p
-		}
-	}
-	for a, v := range r.Adapters {
-		add(a, v, 0)
-	}
-	for a, v := range r.Coming {
-		add(a, v, now+cold)
-	}
-	e.places = places
-}
-
 // send gives an order under the token that is valid at this instant.
 func (o *Orders) send(c context.Context, e *engine, q Order) (Answer, error) {
 	t, err := o.Ownership.Token(e.upstream.ID, o.Timer.Boot())
--- a/coordination/orders/orders_test.go
+++ b/coordination/orders/orders_test.go
@@ -44,9 +44,10 @@
 	// age is how old what is told of uses may be.
 	age time.Duration
 
-	pool   *pool.Pool
-	orders *orders.Orders
-	owner  *ownership.Ownership
+	pool    *pool.Pool
+	engines *orders.Engines
+	orders  *orders.Orders
+	owner   *ownership.Ownership
 }
 
 var timing = orders.Timing{Cold: 250 * time.Millisecond, Warm: 25 * time.Millisecond, Parallel: 8, PerModelLoad: 2}
@@ -65,8 +66,9 @@
 		Wanted: func(pool.Upstream) bool { return true },
 	})
 	b.pass(2 * time.Second)
+	b.engines = &orders.Engines{Report: b.report, Order: b.order}
 	b.orders = orders.New(t.Context(), timing, orders.Services{
-		Engines: &orders.Engines{Report: b.report, Order: b.order}, Timer: k, Pool: b.pool, Ownership: b.owner, Log: zap.NewNop(), Admission: admission.New(b.pool, k, zap.NewNop()),
+		Engines: b.engines, Timer: k, Pool: b.pool, Ownership: b.owner, Log: zap.NewNop(), Admission: admission.New(b.pool, k, zap.NewNop()),
 		Engine:  func(route.ServiceName) (*route.Engine, bool) { return &n, true },
 		Loading: func() int { return loading },
 		Age:     func() time.Duration { return b.age },
@@ -378,3 +380,35 @@
 		t.Errorf("the adapter is used %v after it was ready", late)
 	}
 }
+
+// TestEngineThatTakesNothingMoreGetsNoOrders has an engine say that it leaves, or for
+// how long it wants nothing. What other instances ask the owner for comes the same way.
+func TestEngineThatTakesNothingMoreGetsNoOrders(t *testing.T) {
+	for name, n := range map[string]pool.Notice{"leaves": {Leaving: true}, "pauses": {Pause: 10 * time.Second}} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, 0)
+			if _, err := b.load(1); err != nil {
+				t.Fatal(err)
+			}
+			b.pass(time.Second)
+			u, _ := b.pool.Get("e0", b.now)
+			calls := b.calls
+			b.engines.Heed(u, n)
+			if _, err := b.load(2); !errors.Is(err, orders.ErrUnsure) {
+				t.Errorf("load: %v, want ErrUnsure", err)
+			}
+			if _, err := b.orders.Grant(t.Context(), "e0", adapter(1), 1); !errors.Is(err, orders.ErrAbsent) {
+				t.Errorf("grant: %v, want ErrAbsent", err)
+			}
+			if b.calls != calls {
+				t.Errorf("%d orders", b.calls-calls)
+			}
+			if b.pass(11 * time.Second); n.Pause == 0 {
+				return
+			}
+			if _, err := b.load(2); err != nil {
+				t.Errorf("after the pause: %v", err)
+			}
+		})
+	}
+}
--- a/coordination/orders/plan.go
+++ b/coordination/orders/plan.go
@@ -256,3 +256,38 @@
 	}
 	delete(e.recent, oldest)
 }
+
+// reportLag is how far a report may be behind, twice what the platform states.
+const reportLag = 250 * time.Millisecond
+
+// merge takes over what an engine reports, but for what was ordered so lately
+// that the report cannot know.
+func (e *engine) merge(r Report, now, cold time.Duration) {
+	places := map[pool.Adapter]*place{}
+	add := func(a pool.Adapter, v route.Version, readyAt time.Duration) {
+		p, ok := e.places[a]
+		if !ok {
+			p = &place{lastUse: now, scoreAt: now}
+		}
+		if ok && now-p.orderedAt < reportLag || now-e.dropped[a] < reportLag && e.dropped[a] != 0 {
+			return
+		}
+		if !ok || p.left <= 0 || readyAt == 0 {
+			p.left, p.readyAt = max(0, readyAt-now), readyAt
+		}
+		p.version = v
+		places[a] = p
+	}
+	for a, p := range e.places {
+		if now-p.orderedAt < reportLag {
+			places[a] = p
+		}
+	}
+	for a, v := range r.Adapters {
+		add(a, v, 0)
+	}
+	for a, v := range r.Coming {
+		add(a, v, now+cold)
+	}
+	e.places = places
+}
--- a/protocol/dispatch/dispatch.go
+++ b/protocol/dispatch/dispatch.go
@@ -80,6 +80,8 @@
 	// Moved when because another upstream or adapter is in its place.
 	NotRun bool
 	Moved  bool
+	// Notice is what the answer says of the upstream.
+	Notice pool.Notice
 }
 
 // Services are the parts that a dispatcher works with.
--- a/protocol/dispatch/dispatch_test.go
+++ b/protocol/dispatch/dispatch_test.go
@@ -464,12 +464,18 @@
 	}
 }
 
-// TestRequestThatWaitedIsNotSentToALeavingUpstream lets an engine leave, end or start
-// anew while a request waits there for its adapter: another engine runs it.
+// TestRequestThatWaitedIsNotSentToALeavingUpstream lets an engine leave, turn others
+// away, end or start anew while a request waits there for its adapter: another engine runs it.
 func TestRequestThatWaitedIsNotSentToALeavingUpstream(t *testing.T) {
 	for name, leave := range map[string]func(p *pool.Pool, u pool.Upstream, now time.Duration){
 		"leaves": func(p *pool.Pool, u pool.Upstream, _ time.Duration) { u.Draining = true; p.Put(u) },
 		"ends":   func(p *pool.Pool, u pool.Upstream, now time.Duration) { p.Remove(u.ID, now) },
+		"says so": func(p *pool.Pool, u pool.Upstream, now time.Duration) {
+			p.Heed(u, pool.Notice{Leaving: true}, now)
+		},
+		"turns others away": func(p *pool.Pool, u pool.Upstream, now time.Duration) {
+			p.Heed(u, pool.Notice{Pause: time.Minute}, now)
+		},
 		"starts": func(p *pool.Pool, u pool.Upstream, _ time.Duration) { u.Born++; p.Put(u) },
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/protocol/dispatch/place.go
+++ b/protocol/dispatch/place.go
@@ -44,8 +44,8 @@
 		q := d.ask(j, tried, now)
 		h, ok := d.Pool.Choose(q, now)
 		if !ok {
-			if len(tried) == 0 && len(j.avoid) == 0 && !d.Pool.Serves(j.service.Name, now) {
-				return h, refusal.Later(refusal.NoUpstream, shortRetry, "no upstream of the service is known")
+			if !d.Pool.Serves(j.service.Name, now) {
+				return h, d.noUpstream(j, now)
 			}
 			clear(tried)
 			clear(j.avoid)
@@ -86,6 +86,14 @@
 	}
 }
 
+// noUpstream refuses a request that no upstream of its service takes now.
+func (d *Dispatcher) noUpstream(j *job, now time.Duration) error {
+	if t := d.Pool.OpensIn(j.service.Name, now); t > 0 {
+		return refusal.Later(refusal.Overloaded, max(shortRetry, t), "every upstream of the service turns requests away, the first one for %v more", t)
+	}
+	return refusal.Later(refusal.NoUpstream, shortRetry, "no upstream of the service is known")
+}
+
 // unsurePause is the time before an engine is asked for a load again whose
 // owner does not know its state, cannot be reached or is another one: an owner
 // reads the state after a quarter of a second.
--- a/state/pool/pool.go
+++ b/state/pool/pool.go
@@ -87,6 +87,7 @@
 	others      others
 	othersUntil time.Duration
 	health      health
+	said        said
 	// loadsFrom is the instant from which the engine may be asked for a load.
 	loadsFrom time.Duration
 	// pace is the measured time to the first event over the predicted one.
@@ -126,6 +127,7 @@
 		}
 		if ok {
 			n.own, n.total, n.running = e.own, e.total, e.running
+			n.said.pausedUntil = e.said.pausedUntil
 		} else {
 			p.countPeers(n)
 		}
@@ -145,12 +147,13 @@
 	}
 }
 
-// Sweep deletes the upstreams that are gone since before now.
+// Sweep deletes the upstreams that are gone since before now, and of which nothing
+// has to be kept.
 func (p *Pool) Sweep(now time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for id, e := range p.entries {
-		if !e.there(now) && len(e.own) == 0 {
+		if kept := e.said != (said{}) && now-e.goneAt < keepSaid; !e.there(now) && len(e.own) == 0 && !kept {
 			delete(p.entries, id)
 			delete(p.tags, e.tag)
 		}
--- a/state/pool/pool_test.go
+++ b/state/pool/pool_test.go
@@ -252,3 +252,44 @@
 		p.Choose(q, now)
 	}
 }
+
+// TestWhatAnUpstreamSaidOutlivesItsRow lets the row of an upstream that has said that
+// it leaves lapse and return.
+func TestWhatAnUpstreamSaidOutlivesItsRow(t *testing.T) {
+	p, u := pool.New(), pool.Upstream{ID: "s0", Service: "orders", Slots: 6, Born: 1}
+	p.Put(u)
+	if !p.Heed(u, pool.Notice{Leaving: true}, time.Second) || p.Heed(u, pool.Notice{Leaving: true}, time.Second) {
+		t.Error("only the first notice is new")
+	}
+	p.Remove(u.ID, 2*time.Second)
+	p.Sweep(4 * time.Second)
+	p.Put(u)
+	if v := p.Admits(u, 5*time.Second); v != pool.Leaving {
+		t.Errorf("%v, want leaving", v)
+	}
+	u.Born = 2
+	p.Put(u)
+	if v := p.Admits(u, 5*time.Second); v != pool.Admitted {
+		t.Errorf("a new process is %v, want admitted", v)
+	}
+	p.Remove(u.ID, 6*time.Second)
+	p.Sweep(7 * time.Second)
+	if v := p.Admits(u, 7*time.Second); v != pool.Gone {
+		t.Errorf("%v, want gone", v)
+	}
+}
+
+func TestPauseIsNeverCutShort(t *testing.T) {
+	p, u := pool.New(), pool.Upstream{ID: "s0", Service: "orders", Slots: 6, Born: 1}
+	p.Put(u)
+	p.Heed(u, pool.Notice{Pause: 5 * time.Second}, 0)
+	p.Heed(u, pool.Notice{Pause: time.Second}, time.Second)
+	u.Born = 2
+	p.Put(u)
+	if v, d := p.Admits(u, 4*time.Second), p.OpensIn("orders", 4*time.Second); v != pool.Paused || d != time.Second {
+		t.Errorf("%v, opens in %v", v, d)
+	}
+	if v, d := p.Admits(u, 5*time.Second), p.OpensIn("orders", 5*time.Second); v != pool.Admitted || d != 0 {
+		t.Errorf("%v, opens in %v", v, d)
+	}
+}
--- a/state/pool/verdict_string.go
+++ b/state/pool/verdict_string.go
@@ -12,11 +12,12 @@
 	_ = x[Gone-1]
 	_ = x[Replaced-2]
 	_ = x[Leaving-3]
+	_ = x[Paused-4]
 }
 
-const _Verdict_name = "admittedgonereplacedleaving"
+const _Verdict_name = "admittedgonereplacedleavingpaused"
 
-var _Verdict_index = [...]uint8{0, 8, 12, 20, 27}
+var _Verdict_index = [...]uint8{0, 8, 12, 20, 27, 33}
 
 func (i Verdict) String() string {
 	idx := int(i) - 0
