--- a/entry/currency.go
+++ b/entry/currency.go
@@ -125,6 +125,11 @@
 	}
 }
 
+// loaded reports whether the first rows of a table have been taken over.
+func (e *Entry) loaded(table string) bool {
+	return e.feeds[table].Mirror.Loaded() && (table != e.Tables.Upstreams || e.listings.Version() > 0)
+}
+
 // version is the version of a table that this instance knows, to be compared
 // with those of others. Rows of upstreams change at each of their heartbeats, so
 // that only those count that matter to requests.
--- a/entry/readers.go
+++ b/entry/readers.go
@@ -123,7 +123,7 @@
 // gets them from the store, unless that fails.
 func (f *follower) catchUp(c context.Context) {
 	e, x := f.entry, f.entry.feeds[f.table]
-	if _, ok := f.ahead(e.timer.Boot()); !ok || !x.Mirror.Loaded() && !x.Failing() {
+	if _, ok := f.ahead(e.timer.Boot()); !ok || !e.loaded(f.table) && !x.Failing() {
 		return
 	}
 	if e.reads.Load() && !x.Failing() {
