gossip: a reader counts as one from its first beat on, and vouches for the store later

Since beats tell who reads the store, an instance told so only once it had read for 2.3 s, the time after which it can vouch that the store was not away. The two are told apart now.

--- a/coordination/gossip/beat.go
+++ b/coordination/gossip/beat.go
@@ -43,11 +43,12 @@
 	// which the others may not have read from the store yet.
 	Front string
 	Peer  string
-	// StoreUnsteady is set while the store fails or has lately, and Reading while
-	// the instance reads the tables of the store and has done so for long enough to
-	// tell that it was not away.
+	// StoreUnsteady is set while the store fails or has lately, Reading while the
+	// instance reads the tables of the store, and Vouching once it has done so for long
+	// enough to tell that the store was not away.
 	StoreUnsteady bool
 	Reading       bool
+	Vouching      bool
 	// Uptime is the time since the start.
 	Uptime time.Duration
 	// Versions are the versions of the mirrored tables, by the tag of the table.
@@ -91,6 +92,7 @@
 	Reading     bool   `protobuf:"varint,30,opt,name=reading,proto3"`
 	Front       string `protobuf:"bytes,12,opt,name=front,proto3"`
 	Peer        string `protobuf:"bytes,13,opt,name=peer,proto3"`
+	Vouching    bool   `protobuf:"varint,32,opt,name=vouching,proto3"`
 	Listings    uint64 `protobuf:"fixed64,31,opt,name=listings,proto3"`
 	// Versions are in the order of Tables, units in that of Workspaces.
 	Tables     []uint32  `protobuf:"fixed32,14,rep,packed,name=tables,proto3"`
@@ -136,7 +138,7 @@
 	m := &beatMessage{
 		Name: b.Name, Run: b.Run, Sequence: b.Sequence, Serving: b.Serving, UptimeMs: b.Uptime.Milliseconds(),
 		Lease: int64(b.Lease), Surrendered: b.Surrendered, Loading: int64(b.Loading),
-		Zone: b.Zone, Unsteady: b.StoreUnsteady, Reading: b.Reading, Front: b.Front, Peer: b.Peer, Listings: b.Listings,
+		Zone: b.Zone, Unsteady: b.StoreUnsteady, Reading: b.Reading, Vouching: b.Vouching, Front: b.Front, Peer: b.Peer, Listings: b.Listings,
 	}
 	for t, v := range b.Versions {
 		m.Tables, m.Versions = append(m.Tables, uint32(t)), append(m.Versions, int64(v))
@@ -186,7 +188,7 @@
 	b := Beat{
 		Name: m.Name, Run: m.Run, Sequence: m.Sequence, Serving: m.Serving, Uptime: time.Duration(m.UptimeMs) * time.Millisecond,
 		Lease: mirror.Version(m.Lease), Surrendered: m.Surrendered, Loading: int(m.Loading),
-		Zone: m.Zone, StoreUnsteady: m.Unsteady, Reading: m.Reading, Front: m.Front, Peer: m.Peer, Listings: m.Listings,
+		Zone: m.Zone, StoreUnsteady: m.Unsteady, Reading: m.Reading, Vouching: m.Vouching, Front: m.Front, Peer: m.Peer, Listings: m.Listings,
 		Versions: map[pool.Tag]mirror.Version{}, Spent: map[pool.Tag]float64{}, Sent: map[pool.Tag]retry.Count{},
 	}
 	for i := range min(len(m.Tables), len(m.Versions)) {
--- a/coordination/gossip/beat_test.go
+++ b/coordination/gossip/beat_test.go
@@ -22,7 +22,7 @@
 // workspaces.
 func busyBeat() gossip.Beat {
 	b := gossip.Beat{
-		Name: "instance-12", Run: 1_764_800_000_000, Sequence: 1000, Serving: true, Zone: "zone-1", Uptime: time.Minute, Lease: 123_456,
+		Name: "instance-12", Run: 1_764_800_000_000, Sequence: 1000, Serving: true, Zone: "zone-1", Uptime: time.Minute, Lease: 123_456, Reading: true, Vouching: true, Listings: 0xfeed,
 		Front: "10.0.0.1:80", Peer: "10.0.0.1:81", Loading: 3,
 		Versions: map[pool.Tag]mirror.Version{1: 5000, 2: 5001, 3: 50_002}, Spent: map[pool.Tag]float64{}, Left: map[pool.Tag]allowance.Levels{},
 		Sent: map[pool.Tag]retry.Count{8: {Requests: 900, Retries: 11}},
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -165,7 +165,7 @@
 	lease, surrendered := e.ownership.Lease(now)
 	k := e.feeds[e.Tables.Upstreams].Contact()
 	b := gossip.Beat{
-		Run: e.run, Serving: e.Ready(), Zone: e.Zone, StoreUnsteady: k.Unsteady(now), Reading: e.reads.Load() && k.Vouches(now), Uptime: now - e.began, Lease: lease, Surrendered: surrendered,
+		Run: e.run, Serving: e.Ready(), Zone: e.Zone, StoreUnsteady: k.Unsteady(now), Reading: e.reads.Load(), Vouching: e.reads.Load() && k.Vouches(now), Uptime: now - e.began, Lease: lease, Surrendered: surrendered,
 		Work: e.unowned(), Sent: e.retries.Counts(), Loading: e.orders.Own(), Versions: map[pool.Tag]mirror.Version{},
 	}
 	if b.Uptime < introduceTime {
--- a/entry/readers.go
+++ b/entry/readers.go
@@ -66,7 +66,7 @@
 		switch {
 		case p.StoreUnsteady && p.Uptime > contact.SettleTime:
 			n.Unsteady++
-		case p.Reading:
+		case p.Vouching:
 			n.Vouching++
 		}
 	}
