--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -1,5 +1,5 @@
 // Package admission stands before every way to an upstream: requests, resumed
-// streams, retries, reports and orders ask it just before they are sent, and hand it
+// streams, retries and orders ask it just before they are sent, and hand it
 // what the answers say of the upstream.
 package admission
 
--- a/coordination/orders/orders.go
+++ b/coordination/orders/orders.go
@@ -45,7 +45,7 @@
 // Services are the parts that the orders work with.
 type Services struct {
 	Engines *Engines
-	// Admission is asked before each report and order.
+	// Admission is asked before each order.
 	Admission *admission.Admission
 	Timer     *timer.Service
 	Pool      *pool.Pool
