platform, pool: decode and log the rate limits of upstreams

An upstream may name the requests a second that it takes from all instances together. Logs had nothing on it, so a record could not tell whether an instance knew of a limit. The limit is decoded, kept with a revision in the pool and logged; sends to an upstream that has one are logged and counted by way. Nothing is decided by it yet.

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -43,9 +43,12 @@
 	if n.InvalidPause != "" {
 		a.log.Warn("pause cannot be read", zap.String("request", what), zap.String("upstream", string(u.ID)), zap.String("text", n.InvalidPause))
 	}
+	if n.InvalidLimit != "" {
+		a.log.Warn("limit cannot be read", zap.String("request", what), zap.String("upstream", string(u.ID)), zap.String("text", n.InvalidLimit))
+	}
 	if n == (pool.Notice{}) || !a.pool.ApplyNotice(u, n, a.timer.Boot()) {
 		return
 	}
 	a.log.Info("upstream has said", zap.String("request", what), zap.String("upstream", string(u.ID)), zap.Int64("born", u.StartedAt),
-		zap.Bool("leaving", n.Leaving), zap.Duration("pause", n.Pause))
+		zap.Bool("leaving", n.Leaving), zap.Duration("pause", n.Pause), zap.Float64("limit", float64(n.Limit)), zap.Int64("limit-revision", a.pool.Limit(u.ID).Revision))
 }
--- a/protocol/dispatch/attempt.go
+++ b/protocol/dispatch/attempt.go
@@ -108,6 +108,7 @@
 	defer cancel()
 	stopTimer := d.startSilenceTimer(x, j, cancel)
 	sent := d.Timer.Boot()
+	d.recordLimitedSend(j)
 	j.sends++
 	q := UpstreamRequest{
 		Request: j.Request, Upstream: j.choice.Upstream, Version: j.choice.Version, Remaining: j.deadline - sent,
@@ -144,6 +145,24 @@
 	return err
 }
 
+// recordLimitedSend logs and counts a send to an upstream that has set a rate limit.
+func (d *Dispatcher) recordLimitedSend(j *job) {
+	l := d.Pool.Limit(j.choice.ID)
+	if l.Rate == 0 {
+		return
+	}
+	way := "first"
+	switch {
+	case j.started:
+		way = "resume"
+	case j.sends > 0:
+		way = "retry"
+	}
+	d.Metrics.countLimitedSend(way)
+	d.Log.Info("sent to limited upstream", zap.String("request", j.ID), zap.String("upstream", string(j.choice.ID)), zap.String("way", way),
+		zap.Float64("limit", float64(l.Rate)), zap.Int64("limit-revision", l.Revision))
+}
+
 // urgency returns the urgency of a request, from 0 for the most urgent to 9. The
 // priority of the workspace, if it has one, replaces that of the route.
 func (d *Dispatcher) urgency(j *job) int {
--- a/protocol/dispatch/metrics.go
+++ b/protocol/dispatch/metrics.go
@@ -13,6 +13,8 @@
 type Metrics struct {
 	refusals   *prometheus.CounterVec
 	firstParts *prometheus.HistogramVec
+	// limitedSends counts the sends to upstreams that have set a rate limit.
+	limitedSends *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics of a dispatcher.
@@ -25,8 +27,11 @@
 			Name: "gentiangauge_dispatch_first_part_seconds", Help: "Time from sending a request to the first part of its answer.",
 			Buckets: prometheus.ExponentialBuckets(0.01, 2, 11),
 		}, []string{"kind"}),
+		limitedSends: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "gentiangauge_dispatch_limited_sends_total", Help: "Requests sent to upstreams that have set a rate limit, by way: first, retry or resume.",
+		}, []string{"way"}),
 	}
-	r.MustRegister(m.refusals, m.firstParts)
+	r.MustRegister(m.refusals, m.firstParts, m.limitedSends)
 	return m
 }
 
@@ -34,6 +39,10 @@
 	m.refusals.WithLabelValues(string(c)).Inc()
 }
 
+func (m *Metrics) countLimitedSend(way string) {
+	m.limitedSends.WithLabelValues(way).Inc()
+}
+
 func (m *Metrics) observeFirstPart(k route.Kind, d time.Duration) {
 	m.firstParts.WithLabelValues(k.String()).Observe(d.Seconds())
 }
--- a/state/pool/admission.go
+++ b/state/pool/admission.go
@@ -30,12 +30,20 @@
 	Pause time.Duration
 	// InvalidPause is the text of a pause that cannot be parsed; such a pause is ignored.
 	InvalidPause string
+	// StatesLimit is set when the response states the upstream's rate limit, which is
+	// Limit, or 0 for none.
+	StatesLimit bool
+	Limit       RequestsPerSecond
+	// InvalidLimit is the quoted text of a limit that cannot be parsed; such a limit is
+	// ignored.
+	InvalidLimit string
 }
 
 // reportedState is what an upstream has stated about itself in its responses.
 type reportedState struct {
 	leaving     bool
 	pausedUntil time.Duration
+	limit       Limit
 }
 
 // noticeRetention is how long the notices of an upstream are kept after its row was
@@ -75,7 +83,8 @@
 
 // ApplyNotice records a notice from a response of the upstream and reports whether it
 // changed anything. A leaving notice holds until the upstream's process restarts. A pause
-// also outlasts a restart, because the load that caused it may persist.
+// also outlasts a restart, because the load that caused it may persist. A limit is set by
+// the responses to requests that were placed since it last changed.
 func (p *Pool) ApplyNotice(u Upstream, n Notice, now time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -88,9 +97,23 @@
 	if n.Pause > 0 {
 		e.reported.pausedUntil = max(old.pausedUntil, now+n.Pause)
 	}
+	if e.StartedAt == u.StartedAt {
+		e.reported.limit = old.limit.update(u.LimitRevision, n)
+		e.LimitRevision = e.reported.limit.Revision
+	}
 	return e.reported != old
 }
 
+// Limit returns the limit that an upstream has set, with the zero value if none is known.
+func (p *Pool) Limit(id ID) Limit {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if e, ok := p.entries[id]; ok {
+		return e.reported.limit
+	}
+	return Limit{}
+}
+
 // ResumesIn returns the time until the first paused upstream of a service accepts
 // requests again, or 0 if none is paused.
 func (p *Pool) ResumesIn(s route.ServiceName, now time.Duration) time.Duration {
--- a/state/pool/pool.go
+++ b/state/pool/pool.go
@@ -63,6 +63,9 @@
 	Slots     int
 	// Draining upstreams take no new requests.
 	Draining bool
+	// LimitRevision is the revision of the upstream's limit that was known when this copy
+	// was returned by the pool.
+	LimitRevision int64
 	// Models are the base models on the upstream.
 	Models map[route.ModelName]route.Version
 	// Adapters are the adapters on the upstream according to the row, which lags behind.
@@ -138,6 +141,7 @@
 		p.entries[u.ID], p.tags[n.tag] = n, n
 		return
 	}
+	u.LimitRevision = e.LimitRevision
 	e.Upstream = u
 	e.removedAt = 0
 }
