pool, admission, entry: keep the limits of upstreams over the fleet

The class: a figure that holds for the whole fleet was left to what each instance does by itself. At 1.7 requests a second and 13 to 195 instances, an instance's part is a request in 8 to 115 s, so that a limit kept by each instance would not have held either.

Change: the owner of an upstream grants a permit for each request to it while a limit is in force; upstreams of plain services get an owner too. pool.Admits says that a permit is needed, or that none is granted before a time; admission takes it just before each send: first sends, retries, resumed streams, unsafe calls, orders and reads of reports. A request without a permit goes to another upstream, or is refused at once with the time that the owner has given as Retry-After. Limits carry a revision and are told to all instances at once, and again in heartbeats; a response to a request that was placed before the present limit was known changes nothing.

A sole owner by a conditional write to the store leaves a short overlap when an owner does not know yet that it is replaced; the burst leaves room for that. Ruled out: parts of the limit for each instance (wasted where an instance has nothing to send, and due all at once); a penalty on limited upstreams in the choice (under a light load nothing was sent there, and no response could end the limit).

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -1,9 +1,12 @@
 // Package admission checks whether an upstream accepts new work. Requests, resumed streams,
-// retries and orders are checked just before they are sent, and the notices in the responses of
-// upstreams are applied.
+// retries, orders and reads of reports are checked just before they are sent, and the notices
+// in the responses of upstreams are applied.
 package admission
 
 import (
+	"context"
+	"time"
+
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
@@ -14,8 +17,20 @@
 // ErrNotAdmitted means that nothing was sent because the upstream accepts no new work.
 var ErrNotAdmitted = eris.New("upstream accepts no new work")
 
+// unansweredWait is how long no further permit for an upstream is requested after its owner
+// was unknown or did not answer.
+const unansweredWait = 250 * time.Millisecond
+
 // Admission decides by the state of the pool at the time of the call.
 type Admission struct {
+	// TakePermit requests a permit from the owner of an upstream. An error means that the
+	// owner is unknown or did not answer. Nil grants all.
+	TakePermit func(c context.Context, u pool.Upstream) (pool.PermitAnswer, error)
+	// ReturnPermit gives a permit back to the owner. Nil drops it.
+	ReturnPermit func(u pool.Upstream)
+	// OnLimit is called when a response has changed the limit of an upstream. Nil ignores it.
+	OnLimit func(u pool.Upstream)
+
 	pool  *pool.Pool
 	timer *timer.Service
 	log   *zap.Logger
@@ -26,15 +41,52 @@
 	return &Admission{pool: p, timer: t, log: log.Named("admission")}
 }
 
-// Check fails with ErrNotAdmitted if nothing may be sent to the upstream now. The parameter what is
-// the id of a request or the name of a call, for the log.
-func (a *Admission) Check(u pool.Upstream, what string) error {
+// Check fails with ErrNotAdmitted if nothing may be sent to the upstream now. If the upstream
+// has a rate limit, Check takes a permit for one request, which must be sent at once or given
+// back with Return; permitted is set then. The parameter what is the id of a request or the
+// name of a call, for the log.
+func (a *Admission) Check(c context.Context, u pool.Upstream, what string) (permitted bool, err error) {
 	v := a.pool.Admits(u, a.timer.Boot())
+	if v == pool.NeedsPermit {
+		if !a.takePermit(c, u, what) {
+			v = pool.Limited
+		} else if v = a.pool.Admits(u, a.timer.Boot()); v.Available() {
+			return true, nil
+		} else {
+			a.Return(u)
+		}
+	}
 	if v == pool.Admitted {
-		return nil
+		return false, nil
 	}
 	a.log.Info("withheld", zap.String("request", what), zap.String("upstream", string(u.ID)), zap.Stringer("why", v), zap.Int64("upstream-row", int64(u.RowVersion)))
-	return eris.Wrap(ErrNotAdmitted, v.String())
+	return false, eris.Wrap(ErrNotAdmitted, v.String())
+}
+
+// takePermit requests a permit. If none is granted, no further one is requested before the
+// time that the owner has given.
+func (a *Admission) takePermit(c context.Context, u pool.Upstream, what string) bool {
+	if a.TakePermit == nil {
+		return true
+	}
+	r, err := a.TakePermit(c, u)
+	if err != nil {
+		r = pool.PermitAnswer{Wait: unansweredWait}
+	}
+	l := a.pool.Limit(u.ID)
+	a.log.Info("permit", zap.String("request", what), zap.String("upstream", string(u.ID)), zap.Bool("granted", r.Granted), zap.Duration("wait", r.Wait),
+		zap.Float64("limit", float64(l.Rate)), zap.Int64("limit-revision", l.Revision), zap.Error(err))
+	if !r.Granted {
+		a.pool.DeferPermit(u.ID, a.timer.Boot()+r.Wait)
+	}
+	return r.Granted
+}
+
+// Return gives back a permit whose request was not sent.
+func (a *Admission) Return(u pool.Upstream) {
+	if a.ReturnPermit != nil {
+		a.ReturnPermit(u)
+	}
 }
 
 // ApplyNotice applies the notice that an upstream sent in a response. See Check for the parameter
@@ -46,9 +98,17 @@
 	if n.InvalidLimit != "" {
 		a.log.Warn("limit cannot be read", zap.String("request", what), zap.String("upstream", string(u.ID)), zap.String("text", n.InvalidLimit))
 	}
-	if n == (pool.Notice{}) || !a.pool.ApplyNotice(u, n, a.timer.Boot()) {
+	if n == (pool.Notice{}) {
 		return
 	}
+	before := a.pool.Limit(u.ID)
+	if !a.pool.ApplyNotice(u, n, a.timer.Boot()) {
+		return
+	}
+	l := a.pool.Limit(u.ID)
 	a.log.Info("upstream has said", zap.String("request", what), zap.String("upstream", string(u.ID)), zap.Int64("born", u.StartedAt),
-		zap.Bool("leaving", n.Leaving), zap.Duration("pause", n.Pause), zap.Float64("limit", float64(n.Limit)), zap.Int64("limit-revision", a.pool.Limit(u.ID).Revision))
+		zap.Bool("leaving", n.Leaving), zap.Duration("pause", n.Pause), zap.Float64("limit", float64(l.Rate)), zap.Int64("limit-revision", l.Revision))
+	if l.Revision != before.Revision && a.OnLimit != nil {
+		a.OnLimit(u)
+	}
 }
--- a/coordination/gossip/gossip.go
+++ b/coordination/gossip/gossip.go
@@ -63,6 +63,12 @@
 	Work     []pool.Work
 }
 
+// Limits are limits of upstreams that an instance announces to all others.
+type Limits struct {
+	Name   string
+	Limits []pool.UpstreamLimit
+}
+
 // reportID identifies a report of an instance; later reports have higher IDs.
 type reportID struct {
 	run, sequence int64
@@ -77,6 +83,9 @@
 	OnHeartbeat func(b Heartbeat)
 	// OnReport is called with each new report of another instance.
 	OnReport func(r Report)
+	// OnLimits is called with limits of upstreams that another instance announces outside
+	// of heartbeats. They may arrive in any order.
+	OnLimits func(l Limits)
 	// Addresses returns the addresses of the other instances: near ones get each
 	// heartbeat; far ones, in other availability zones, get some of them.
 	Addresses func() (near, far []netip.AddrPort)
@@ -203,7 +212,7 @@
 	}
 }
 
-// handleDatagram processes a heartbeat or a report. A report that is not newer than the
+// handleDatagram processes a heartbeat, limits or a report. A report that is not newer than the
 // last one of its instance is ignored.
 func (g *Gossip) handleDatagram(data []byte) {
 	var m heartbeatMessage
@@ -212,7 +221,13 @@
 		return
 	}
 	b := m.heartbeat()
-	if !m.Report {
+	switch {
+	case m.LimitsOnly:
+		if g.OnLimits != nil {
+			g.OnLimits(Limits{Name: b.Name, Limits: b.Limits})
+		}
+		return
+	case !m.Report:
 		g.Receive(b)
 		return
 	}
@@ -240,6 +255,21 @@
 	g.send(data, to)
 }
 
+// SendLimits announces limits of upstreams to all other instances.
+func (g *Gossip) SendLimits(l []pool.UpstreamLimit) {
+	m := Heartbeat{Name: g.name, Limits: l}.message()
+	m.LimitsOnly = true
+	data, err := mesh.Marshal(m)
+	if err != nil {
+		g.log.Error("failed to encode limits", zap.Error(err))
+		return
+	}
+	near, far := g.Addresses()
+	for _, a := range append(near, far...) {
+		g.send(data, a)
+	}
+}
+
 // Receive records a heartbeat of another instance and calls OnHeartbeat, unless a newer
 // one of that instance has arrived.
 func (g *Gossip) Receive(b Heartbeat) {
--- a/coordination/gossip/heartbeat.go
+++ b/coordination/gossip/heartbeat.go
@@ -75,6 +75,8 @@
 	Placements []Placement
 	// Loading is the number of adapter loads in progress that the instance ordered.
 	Loading int
+	// Limits are the rate limits of upstreams, in force or ended lately.
+	Limits []pool.UpstreamLimit
 }
 
 // heartbeatMessage is a heartbeat on the wire. It has parallel lists of numbers instead
@@ -119,6 +121,13 @@
 	WorkUnread    []int64             `protobuf:"varint,22,rep,packed,name=work_unread,proto3"`
 	WorkTokens    []int64             `protobuf:"varint,23,rep,packed,name=work_tokens,proto3"`
 	Places        []*placementMessage `protobuf:"bytes,24,rep,name=places,proto3"`
+	// LimitStarts, LimitRates and LimitRevisions are in the order of LimitUpstreams.
+	LimitUpstreams []uint32  `protobuf:"fixed32,33,rep,packed,name=limit_upstreams,proto3"`
+	LimitStarts    []int64   `protobuf:"varint,34,rep,packed,name=limit_starts,proto3"`
+	LimitRates     []float64 `protobuf:"fixed64,35,rep,packed,name=limit_rates,proto3"`
+	LimitRevisions []int64   `protobuf:"varint,36,rep,packed,name=limit_revisions,proto3"`
+	// LimitsOnly marks a message that is no heartbeat and carries only limits.
+	LimitsOnly bool `protobuf:"varint,37,opt,name=limits_only,proto3"`
 }
 
 // placementMessage is a Placement on the wire. Versions, ReadyInMs and Running are in
@@ -166,6 +175,10 @@
 	for _, p := range b.Placements {
 		m.Places = append(m.Places, p.message())
 	}
+	for _, l := range b.Limits {
+		m.LimitUpstreams, m.LimitStarts = append(m.LimitUpstreams, uint32(l.Upstream)), append(m.LimitStarts, l.StartedAt)
+		m.LimitRates, m.LimitRevisions = append(m.LimitRates, float64(l.Rate)), append(m.LimitRevisions, l.Revision)
+	}
 	return m
 }
 
@@ -220,6 +233,12 @@
 	for _, p := range m.Places {
 		b.Placements = append(b.Placements, p.placement())
 	}
+	for i := range min(len(m.LimitUpstreams), len(m.LimitStarts), len(m.LimitRates), len(m.LimitRevisions)) {
+		b.Limits = append(b.Limits, pool.UpstreamLimit{
+			Upstream: pool.Tag(m.LimitUpstreams[i]), StartedAt: m.LimitStarts[i],
+			Limit: pool.Limit{Rate: pool.RequestsPerSecond(m.LimitRates[i]), Revision: m.LimitRevisions[i]},
+		})
+	}
 	return b
 }
 
--- a/coordination/orders/loop.go
+++ b/coordination/orders/loop.go
@@ -14,12 +14,23 @@
 func (o *Orders) Run(c context.Context) {
 	go o.Timer.Subscribe(c, loadUpdateInterval, func(time.Time) { o.updateLoads() })
 	o.Timer.Subscribe(c, reconcileInterval, func(time.Time) {
-		for id := range o.Ownership.Owned(o.Timer.Boot()) {
+		now := o.Timer.Boot()
+		for id := range o.Ownership.Owned(now) {
+			if u, ok := o.Pool.Get(id, now); !ok || !o.isEngine(u) {
+				continue
+			}
 			o.worker(id).Post(func(e *engine) { o.reconcile(c, e, id) })
 		}
 	})
 }
 
+// isEngine reports whether an upstream is an engine. Plain services have owners too, for the
+// permits of their rate limits.
+func (o *Orders) isEngine(u pool.Upstream) bool {
+	_, ok := o.EngineConfig(u.Service)
+	return ok
+}
+
 // updateLoads refreshes the estimated end times of the loads in flight.
 func (o *Orders) updateLoads() {
 	o.mu.Lock()
@@ -32,7 +43,7 @@
 	o.mu.Unlock()
 	for _, id := range busy {
 		o.worker(id).Post(func(e *engine) {
-			if _, ok := o.EngineConfig(e.upstream.Service); ok {
+			if o.isEngine(e.upstream) {
 				o.advance(e, o.Timer.Boot())
 				o.publish(e, id)
 			}
--- a/coordination/orders/orders.go
+++ b/coordination/orders/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,6 +29,8 @@
 	ErrNotLoaded = eris.New("adapter is not loaded on the engine")
 	// ErrStateUnknown means that the current state of the engine is not known.
 	ErrStateUnknown = eris.New("state of the engine is unknown")
+	// ErrNotAdmitted means that the engine accepts no order now.
+	ErrNotAdmitted = eris.New("engine accepts no order now")
 )
 
 const (
@@ -100,7 +103,7 @@
 
 // Load loads an adapter on an engine and returns the time until it is ready. If the adapter is
 // loaded or loading already, Load reserves it. It fails with ownership.ErrNotOwner, ErrFull,
-// ErrStoreBusy or ErrStateUnknown.
+// ErrStoreBusy, ErrNotAdmitted or ErrStateUnknown.
 func (o *Orders) Load(c context.Context, id pool.ID, a pool.Adapter, v route.Version) (time.Duration, error) {
 	var ready time.Duration
 	var err error
@@ -122,7 +125,7 @@
 		return 0, err
 	}
 	h, ok := o.Pool.LoadedAdapter(id, a)
-	if u, known := o.Pool.Get(id, now); !ok || h.Version < v || !known || o.Pool.Admits(u, now) != pool.Admitted {
+	if u, known := o.Pool.Get(id, now); !ok || h.Version < v || !known || !o.Pool.Admits(u, now).InService() {
 		return 0, ErrNotLoaded
 	}
 	o.worker(id).Post(func(e *engine) {
@@ -185,7 +188,7 @@
 		return err
 	}
 	u, ok := o.Pool.Get(id, now)
-	if !ok || o.Pool.Admits(u, now) != pool.Admitted {
+	if !ok || !o.Pool.Admits(u, now).InService() {
 		return ErrStateUnknown
 	}
 	if u.StartedAt != e.upstream.StartedAt {
@@ -201,6 +204,9 @@
 	}
 	x, cancel := context.WithTimeout(c, reportTimeout)
 	defer cancel()
+	if _, err := o.Admission.Check(x, u, "report"); err != nil {
+		return eris.Wrap(ErrStateUnknown, err.Error())
+	}
 	r, err := o.Engines.Report(x, u)
 	if err != nil {
 		return eris.Wrap(ErrStateUnknown, err.Error())
@@ -226,7 +232,7 @@
 }
 
 // send sends an order with the fencing token that is valid at this moment. It fails with
-// ownership.ErrNotOwner or ErrStateUnknown.
+// ownership.ErrNotOwner, ErrStateUnknown, or ErrNotAdmitted if nothing was sent.
 func (o *Orders) send(c context.Context, e *engine, q Order) (Answer, error) {
 	t, err := o.Ownership.Token(e.upstream.ID, o.Timer.Boot())
 	if err != nil || t != e.token {
@@ -234,12 +240,11 @@
 		return 0, ownership.ErrNotOwner
 	}
 	q.Upstream, q.Sequence, q.Token = e.upstream, e.sequence, t
-	if err := o.Admission.Check(q.Upstream, "order"); err != nil {
-		e.synced = false
-		return 0, eris.Wrap(ErrStateUnknown, err.Error())
-	}
 	x, cancel := context.WithTimeout(context.WithoutCancel(c), orderTimeout)
 	defer cancel()
+	if _, err := o.Admission.Check(x, q.Upstream, "order"); err != nil {
+		return 0, eris.Wrap(ErrNotAdmitted, err.Error())
+	}
 	a, err := o.Engines.Order(x, q)
 	if err != nil {
 		e.synced = false
@@ -280,6 +285,10 @@
 	delete(e.slots, a)
 	o.publish(e, e.upstream.ID)
 	r, err := o.send(c, e, Order{Unload: true, Adapter: a})
+	if errors.Is(err, ErrNotAdmitted) {
+		e.slots[a] = s
+		o.publish(e, e.upstream.ID)
+	}
 	if err != nil {
 		return err
 	}
--- a/coordination/orders/orders_test.go
+++ b/coordination/orders/orders_test.go
@@ -63,7 +63,7 @@
 	g := gossip.New("n0", nil, k, zap.NewNop())
 	h.owner = ownership.New("n0", 1, ownership.Services{
 		Store: memory.New().Client(), Timer: k, Gossip: g, Pool: h.pool, Log: zap.NewNop(),
-		AcceptsOrders: func(pool.Upstream) bool { return true },
+		NeedsOwner: func(pool.Upstream) bool { return true },
 	})
 	h.advance(2 * time.Second)
 	h.engines = &orders.Engines{Report: h.report, Order: h.order}
--- a/coordination/ownership/claim.go
+++ b/coordination/ownership/claim.go
@@ -127,7 +127,7 @@
 	defer o.mu.Unlock()
 	var out []candidate
 	for _, u := range ups {
-		if !o.AcceptsOrders(u) {
+		if !o.NeedsOwner(u) {
 			continue
 		}
 		t, ok := o.claimable(u.ID, now)
--- a/coordination/ownership/ownership.go
+++ b/coordination/ownership/ownership.go
@@ -1,5 +1,5 @@
-// Package ownership decides which instance gives orders to which upstream, with
-// conditional writes to the platform's store.
+// Package ownership decides which instance gives orders to which upstream, and permits
+// for its rate limit, with conditional writes to the platform's store.
 //
 // Each instance that owns upstreams renews one lease row. A claim row names the owner
 // of an upstream; its version is the fencing token of the owner's orders. A claim is
@@ -83,8 +83,8 @@
 	Gossip *gossip.Gossip
 	Pool   *pool.Pool
 	Log    *zap.Logger
-	// AcceptsOrders reports whether an upstream accepts orders.
-	AcceptsOrders func(u pool.Upstream) bool
+	// NeedsOwner reports whether an upstream needs an owner.
+	NeedsOwner func(u pool.Upstream) bool
 }
 
 // Ownership manages the claims and the lease of one instance. It is safe for concurrent
--- a/coordination/ownership/ownership_test.go
+++ b/coordination/ownership/ownership_test.go
@@ -71,7 +71,7 @@
 	}
 	n.ownership = ownership.New(n.name, n.run, ownership.Services{
 		Store: c, Timer: t, Gossip: n.gossip, Pool: n.pool, Log: zap.NewNop(),
-		AcceptsOrders: func(pool.Upstream) bool { return true },
+		NeedsOwner: func(pool.Upstream) bool { return true },
 	})
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -185,9 +185,10 @@
 func (e *Entry) newServices(r prometheus.Registerer, log *zap.Logger) {
 	e.ownership = ownership.New(e.Name, e.run, ownership.Services{
 		Store: e.Store, Timer: e.timer, Gossip: e.gossip, Pool: e.pool, Log: log,
-		AcceptsOrders: func(u pool.Upstream) bool { _, ok := e.engineConfig(u.Service); return ok && !u.Draining },
+		NeedsOwner: e.needsOwner,
 	})
 	a := admission.New(e.pool, e.timer, log)
+	a.TakePermit, a.ReturnPermit, a.OnLimit = e.takePermit, e.returnPermit, e.announceLimit
 	e.orders = orders.New(e.ctx, e.LoadTiming, orders.Services{
 		Engines: e.Engines, Admission: a, Timer: e.timer, Pool: e.pool, Ownership: e.ownership, Log: log,
 		EngineConfig: e.engineConfig, PeerLoads: e.peerLoadCount, MaxUsageAge: func() time.Duration { return 2 * usage.Interval },
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -180,7 +180,8 @@
 		b.Versions[pool.NewTag(t)] = e.tableVersion(t)
 	}
 	b.Versions[pool.NewTag(e.Tables.Upstreams)], b.ListingsDigest = e.listings.Summary()
-	for id, k := range e.ownership.Owned(now) {
+	b.Limits = e.pool.Limits(now)
+	for id, k := range e.ownedEngines(now) {
 		e.pool.ClearRemoteUsage(id)
 		loaded, warm := e.pool.LoadedAdapters(id)
 		busy, running := e.pool.TotalUsage(id, now)
@@ -188,7 +189,7 @@
 			h.ReadyAt = max(0, h.ReadyAt-now)
 			loaded[a] = h
 		}
-		b.Placements = append(b.Placements, gossip.Placement{Upstream: id.Tag(), Claim: mirror.Version(k), Adapters: loaded, Warm: warm, Busy: busy, Running: running})
+		b.Placements = append(b.Placements, gossip.Placement{Upstream: id.Tag(), Claim: k, Adapters: loaded, Warm: warm, Busy: busy, Running: running})
 	}
 	return b
 }
@@ -211,6 +212,7 @@
 	now := e.timer.Boot()
 	e.addIntroduced(b)
 	e.applyVersions(b, now)
+	e.onLimits(b.Name, b.Limits)
 	e.pool.SetPeer(b.Name, b.Work)
 	e.quota.applyHeartbeat(b, now-e.startedAt, now)
 	e.retries.ApplyReport(retry.Instance{Name: b.Name, Run: b.Run}, b.Sent)
@@ -288,6 +290,7 @@
 // registerHandlers registers the handlers for calls from other instances.
 func (e *Entry) registerHandlers() {
 	e.registerOrderHandlers()
+	e.registerPermitHandler()
 	mesh.Handle(e.mesh, rowsMethod, func(_ context.Context, _ string, q *rowsRequest) (*rowsReply, error) {
 		return e.rowsAfter(q.Table, mirror.Version(q.After)), nil
 	})
--- a/entry/reports.go
+++ b/entry/reports.go
@@ -11,7 +11,7 @@
 
 // liveOwner returns the live owner of an upstream, if it sends orders.
 func (e *Entry) liveOwner(u pool.Upstream) (string, bool) {
-	if _, ok := e.engineConfig(u.Service); !ok || !e.hasOwner(u.ID) {
+	if !e.isEngine(u) || !e.hasOwner(u.ID) {
 		return "", false
 	}
 	return e.ownership.Owner(u.ID)
--- a/protocol/dispatch/attempt.go
+++ b/protocol/dispatch/attempt.go
@@ -47,7 +47,7 @@
 			return d.finalError(c, j, last, err)
 		}
 		j.choice = h
-		if err = d.Admission.Check(h.Upstream, j.ID); err != nil {
+		if j.permitted, err = d.Admission.Check(c, h.Upstream, j.ID); err != nil {
 			d.countEnd(j, h.ID)
 			j.avoid[h.ID] = true
 			last = err
@@ -112,7 +112,7 @@
 	j.sends++
 	q := UpstreamRequest{
 		Request: j.Request, Upstream: j.choice.Upstream, Version: j.choice.Version, Remaining: j.deadline - sent,
-		Urgency: d.urgency(j), ResumeAfter: j.lastEvent, AtMostOnce: !j.route.Repeatable(),
+		Urgency: d.urgency(j), ResumeAfter: j.lastEvent, AtMostOnce: !j.route.Repeatable() || j.permitted,
 	}
 	if j.workspace != nil {
 		q.Workspace = j.workspace.Name
@@ -220,6 +220,9 @@
 	d.Pool.RecordOutcome(j.choice.ID, pool.Unreachable, now)
 	d.Log.Info("sending to upstream failed", zap.String("request", j.ID), zap.String("upstream", string(j.choice.ID)), zap.Error(err))
 	if errors.Is(err, relay.ErrNotSent) {
+		if j.permitted {
+			d.Admission.Return(j.choice.Upstream)
+		}
 		return eris.Wrap(errTryAnother, "the upstream cannot be reached")
 	}
 	j.runs++
--- a/protocol/dispatch/dispatch.go
+++ b/protocol/dispatch/dispatch.go
@@ -64,7 +64,8 @@
 	Urgency int
 	// ResumeAfter is the id of the last event that was forwarded to the caller.
 	ResumeAfter string
-	// AtMostOnce is set for requests that must not run twice.
+	// AtMostOnce is set for requests that must not reach the upstream twice: those that
+	// must not run twice, and those for which a permit was taken.
 	AtMostOnce bool
 }
 
@@ -193,6 +194,8 @@
 	started   bool
 	lastEvent string
 	choice    pool.Choice
+	// permitted is set if the present send has taken a permit for a limited upstream.
+	permitted bool
 	// usage is the load that the request adds to the chosen upstream in the pool.
 	usage pool.Usage
 }
--- a/state/pool/admission.go
+++ b/state/pool/admission.go
@@ -12,15 +12,25 @@
 type Verdict int
 
 // Verdicts. Replaced means that the upstream's process has restarted since the upstream
-// was chosen, Paused that the upstream has asked for a pause of a given length.
+// was chosen, Paused that the upstream has asked for a pause of a given length. An
+// upstream with a rate limit is NeedsPermit if its owner may grant a permit for the
+// request, and Limited for the time before which it will grant none.
 const (
-	Admitted Verdict = iota // admitted
-	Removed                 // gone
-	Replaced                // replaced
-	Leaving                 // leaving
-	Paused                  // paused
+	Admitted    Verdict = iota // admitted
+	NeedsPermit                // needs a permit
+	Removed                    // gone
+	Replaced                   // replaced
+	Leaving                    // leaving
+	Paused                     // paused
+	Limited                    // limited
 )
 
+// Available reports whether the upstream takes requests now, with or without a permit.
+func (v Verdict) Available() bool { return v == Admitted || v == NeedsPermit }
+
+// InService reports whether the upstream takes requests at all. A limited one does.
+func (v Verdict) InService() bool { return v.Available() || v == Limited }
+
 // Notice is what an upstream states about itself in a response.
 type Notice struct {
 	// Leaving is set when the upstream is about to stop. Its row may not show that yet.
@@ -53,7 +63,10 @@
 // Admits decides whether a request may be sent to an upstream that was chosen earlier.
 //
 // Load pattern: while requests wait for an adapter, for its owner or for a connection,
-// the upstream shuts down or starts to reject requests.
+// the upstream shuts down, starts to reject requests, or limits the rate of the requests
+// of all instances. That rate is a few requests a second, so that each instance has less
+// than one request in many seconds: the owner of the upstream grants each one (see
+// TakePermit).
 func (p *Pool) Admits(u Upstream, now time.Duration) Verdict {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -76,8 +89,12 @@
 		return Leaving
 	case now < e.reported.pausedUntil:
 		return Paused
-	default:
+	case e.reported.limit.Rate == 0:
 		return Admitted
+	case now < e.permitsAt:
+		return Limited
+	default:
+		return NeedsPermit
 	}
 }
 
@@ -98,8 +115,7 @@
 		e.reported.pausedUntil = max(old.pausedUntil, now+n.Pause)
 	}
 	if e.StartedAt == u.StartedAt {
-		e.reported.limit = old.limit.update(u.LimitRevision, n)
-		e.LimitRevision = e.reported.limit.Revision
+		e.setLimit(old.limit.update(u.LimitRevision, n), now)
 	}
 	return e.reported != old
 }
@@ -114,17 +130,26 @@
 	return Limit{}
 }
 
-// ResumesIn returns the time until the first paused upstream of a service accepts
-// requests again, or 0 if none is paused.
+// ResumesIn returns the time until the first paused or limited upstream of a service
+// accepts requests again, or 0 if there is none.
 func (p *Pool) ResumesIn(s route.ServiceName, now time.Duration) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var first time.Duration
 	for _, e := range p.entries {
-		if e.Service != s || e.verdict(now) != Paused {
+		if e.Service != s {
+			continue
+		}
+		var at time.Duration
+		switch e.verdict(now) {
+		case Paused:
+			at = e.reported.pausedUntil
+		case Limited:
+			at = e.permitsAt
+		default:
 			continue
 		}
-		if d := e.reported.pausedUntil - now; first == 0 || d < first {
+		if d := at - now; first == 0 || d < first {
 			first = d
 		}
 	}
--- a/state/pool/choose.go
+++ b/state/pool/choose.go
@@ -73,12 +73,17 @@
 	// fetchPenalty is the cost of loading an adapter from the weight store, in addition
 	// to the load time.
 	fetchPenalty = 300 * time.Millisecond
+	// limitedLoadPenalty is the cost of a load on an engine with a rate limit: the order
+	// needs a permit too.
+	limitedLoadPenalty = 1500 * time.Millisecond
 	// plainRequestTime is the assumed duration of a request to a plain service.
 	plainRequestTime = 60 * time.Millisecond
 )
 
 // Choose returns the upstream with the lowest predicted time to a response plus
-// penalties. It returns false if no upstream can take the request.
+// penalties. It returns false if no upstream can take the request. An upstream with a rate
+// limit is chosen like any other as long as permits are available: only the responses to
+// such requests can state that the limit has ended.
 func (p *Pool) Choose(r Request, now time.Duration) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -120,7 +125,7 @@
 // usable reports whether the upstream admits requests, is not backing off and has the
 // base model.
 func (e *entry) usable(r Request, now time.Duration) bool {
-	if e.verdict(now) != Admitted || now < e.health.backoffUntil {
+	if !e.verdict(now).Available() || now < e.health.backoffUntil {
 		return false
 	}
 	if r.Engine == nil {
@@ -182,6 +187,9 @@
 	if !e.recent[t] {
 		cost = r.Engine.LoadTime + fetchPenalty + e.rankPenalty(t)
 	}
+	if e.reported.limit.Rate > 0 {
+		cost += limitedLoadPenalty
+	}
 	idle := r.Engine.AdapterSlots - len(e.loaded)
 	if idle > 0 && !ok {
 		return cost
--- a/state/pool/pool.go
+++ b/state/pool/pool.go
@@ -93,6 +93,12 @@
 	remoteUntil time.Duration
 	health      health
 	reported    reportedState
+	// limitChangedAt is the instant at which the limit in reported last changed here,
+	// permitsAt the one before which this instance gets no permit, permits what it grants
+	// as the owner of the upstream.
+	limitChangedAt time.Duration
+	permitsAt      time.Duration
+	permits        permits
 	// loadsDeferredUntil is the instant before which no load is requested from the
 	// engine.
 	loadsDeferredUntil time.Duration
@@ -295,7 +301,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, e := range p.entries {
-		if e.Service == s && e.verdict(now) == Admitted {
+		if e.Service == s && e.verdict(now).Available() {
 			return true
 		}
 	}
--- a/state/pool/verdict_string.go
+++ b/state/pool/verdict_string.go
@@ -9,15 +9,17 @@
 	// Re-run the stringer command to generate them again.
 	var x [1]struct{}
 	_ = x[Admitted-0]
-	_ = x[Removed-1]
-	_ = x[Replaced-2]
-	_ = x[Leaving-3]
-	_ = x[Paused-4]
+	_ = x[NeedsPermit-1]
+	_ = x[Removed-2]
+	_ = x[Replaced-3]
+	_ = x[Leaving-4]
+	_ = x[Paused-5]
+	_ = x[Limited-6]
 }
 
-const _Verdict_name = "admittedgonereplacedleavingpaused"
+const _Verdict_name = "admittedneeds a permitgonereplacedleavingpausedlimited"
 
-var _Verdict_index = [...]uint8{0, 8, 12, 20, 27, 33}
+var _Verdict_index = [...]uint8{0, 8, 22, 26, 34, 41, 47, 54}
 
 func (i Verdict) String() string {
 	idx := int(i) - 0
