--- a/coordination/gossip/heartbeat_test.go
+++ b/coordination/gossip/heartbeat_test.go
@@ -27,6 +27,9 @@
 		Versions: map[pool.Tag]mirror.Version{1: 5000, 2: 5001, 3: 50_002}, Spent: map[pool.Tag]float64{}, Remaining: map[pool.Tag]allowance.Levels{},
 		Sent: map[pool.Tag]retry.Count{8: {Requests: 900, Retries: 11}},
 	}
+	b.Limits = []pool.UpstreamLimit{
+		{Upstream: 5, StartedAt: 1_764_800_000_123, Limit: pool.Limit{Rate: 1.7, Revision: 3}}, {Upstream: 6, StartedAt: 1, Limit: pool.Limit{Revision: 4}},
+	}
 	for i := range 16 {
 		b.Spent[pool.NewTag(fmt.Sprint("workspace-", i))] = float64(i) * 1234
 		b.Remaining[pool.NewTag(fmt.Sprint("workspace-", i))] = allowance.Levels{Burst: float64(i)*10 - 20.5, Even: float64(i)}
@@ -129,3 +132,30 @@
 		t.Errorf("%d of %d heartbeats went to another zone, want %d", got, heartbeats, heartbeats/period)
 	}
 }
+
+// TestLimitsAreSentToAllInstances announces a limit, which is no heartbeat and goes to far
+// instances too.
+func TestLimitsAreSentToAllInstances(t *testing.T) {
+	from, _ := listen(t)
+	sender := gossip.New("instance-12", from, timer.New(), zap.NewNop())
+	received := make(chan gossip.Limits, 2)
+	var addresses []netip.AddrPort
+	for range 2 {
+		to, address := listen(t)
+		addresses = append(addresses, address)
+		r := gossip.New("instance-1", to, timer.New(), zap.NewNop())
+		r.OnHeartbeat = func(gossip.Heartbeat) { t.Error("taken for a heartbeat") }
+		r.OnLimits = func(l gossip.Limits) { received <- l }
+		r.Compose = fullHeartbeat
+		r.Addresses = func() (near, far []netip.AddrPort) { return nil, nil }
+		go r.Run(t.Context())
+	}
+	sender.Addresses = func() (near, far []netip.AddrPort) { return addresses[:1], addresses[1:] }
+	want := gossip.Limits{Name: "instance-12", Limits: fullHeartbeat().Limits}
+	sender.SendLimits(want.Limits)
+	for range 2 {
+		if l := <-received; !reflect.DeepEqual(l, want) {
+			t.Errorf("received %+v, want %+v", l, want)
+		}
+	}
+}
--- a/coordination/orders/orders_test.go
+++ b/coordination/orders/orders_test.go
@@ -48,6 +48,8 @@
 	engines *orders.Engines
 	orders  *orders.Orders
 	owner   *ownership.Ownership
+	// admission grants all permits unless a test replaces its functions.
+	admission *admission.Admission
 }
 
 var timing = orders.LoadTiming{ColdLoad: 250 * time.Millisecond, WarmLoad: 25 * time.Millisecond, ParallelLoads: 8, ParallelPerModelLoad: 2}
@@ -67,8 +69,9 @@
 	})
 	h.advance(2 * time.Second)
 	h.engines = &orders.Engines{Report: h.report, Order: h.order}
+	h.admission = admission.New(h.pool, k, zap.NewNop())
 	h.orders = orders.New(t.Context(), timing, orders.Services{
-		Engines: h.engines, Timer: k, Pool: h.pool, Ownership: h.owner, Log: zap.NewNop(), Admission: admission.New(h.pool, k, zap.NewNop()),
+		Engines: h.engines, Timer: k, Pool: h.pool, Ownership: h.owner, Log: zap.NewNop(), Admission: h.admission,
 		EngineConfig: func(route.ServiceName) (*route.Engine, bool) { return &n, true },
 		PeerLoads:    func() int { return loading },
 		MaxUsageAge:  func() time.Duration { return h.usageAge },
@@ -413,3 +416,44 @@
 		})
 	}
 }
+
+// TestLimitedEngineGetsOrdersWithPermits has an engine limit its rate. Orders take a permit;
+// without one nothing is sent, and the adapter that was to be evicted stays in use.
+func TestLimitedEngineGetsOrdersWithPermits(t *testing.T) {
+	h := newHarness(t, 0)
+	granted := true
+	h.admission.TakePermit = func(context.Context, pool.Upstream) (pool.PermitAnswer, error) {
+		return pool.PermitAnswer{Granted: granted, Wait: time.Second}, nil
+	}
+	for n := range slotCount {
+		for h.advance(time.Second); ; h.advance(time.Second) {
+			if _, err := h.load(n); err == nil {
+				break
+			}
+		}
+	}
+	h.advance(5 * time.Second)
+	u, _ := h.pool.Get("e0", h.now)
+	h.engines.OnNotice(u, pool.Notice{StatesLimit: true, Limit: 1})
+	if v := h.pool.Admits(u, h.now); v != pool.NeedsPermit {
+		t.Fatalf("%v, want needs a permit", v)
+	}
+	sent := h.orderCount
+	granted = false
+	if _, err := h.load(slotCount); !errors.Is(err, orders.ErrNotAdmitted) {
+		t.Errorf("load: %v, want ErrNotAdmitted", err)
+	}
+	for n := range slotCount {
+		if _, err := h.orders.Reserve(t.Context(), "e0", adapter(n), 1); err != nil {
+			t.Errorf("adapter %d: %v", n, err)
+		}
+	}
+	if h.orderCount != sent {
+		t.Errorf("%d orders sent without a permit", h.orderCount-sent)
+	}
+	granted = true
+	h.advance(5 * time.Second)
+	if _, err := h.load(slotCount); err != nil {
+		t.Errorf("with permits: %v", err)
+	}
+}
--- a/protocol/dispatch/dispatch_test.go
+++ b/protocol/dispatch/dispatch_test.go
@@ -42,7 +42,8 @@
 	d       *dispatch.Dispatcher
 	timer   *timer.Service
 	// context is the context of the last send.
-	context context.Context
+	context   context.Context
+	admission *admission.Admission
 }
 
 func newHarness(upstreams int) *harness {
@@ -66,6 +67,7 @@
 		Services:   []route.Service{{Name: "models", Engine: &route.Engine{CacheTokens: 150_000, AdapterSlots: 6}}, {Name: "orders"}},
 		Workspaces: []route.Workspace{{Name: "guild", Keys: []string{"key"}, ByTokens: true, Rate: 1000, Burst: 1000}},
 	})
+	b.admission = admission.New(b.pool, b.timer, zap.NewNop())
 	b.d = dispatch.New(dispatch.Settings{
 		Capacity:   pool.Capacity{TokensPerSecond: 25_800, StepTime: 8 * time.Millisecond, LoadTime: 255 * time.Millisecond, ReloadTime: 30 * time.Millisecond},
 		RetryRatio: 0.2, RetryBurst: 100,
@@ -81,7 +83,7 @@
 			return b.reserve(id)
 		},
 		ReportMissing: func(pool.ID, pool.Adapter) {}, Send: b.send, PeerCount: func() int { return 0 }, DataAges: func() (time.Duration, time.Duration) { return 0, 0 }, StopsAt: func() time.Duration { return b.stopsAt }, Rand: func() float64 { return 0.5 },
-		Budget: retry.New(), Admission: admission.New(b.pool, b.timer, zap.NewNop()),
+		Budget: retry.New(), Admission: b.admission,
 		Metrics: dispatch.NewMetrics(prometheus.NewRegistry()),
 	})
 	return b
@@ -510,3 +512,89 @@
 		})
 	}
 }
+
+// limitAll has all upstreams of the harness limit their rate. Permits are granted by grant
+// and counted in taken and returned.
+func (b *harness) limitAll(grant func(n int) pool.PermitAnswer) (taken, returned *int) {
+	taken, returned = new(int), new(int)
+	for _, u := range b.pool.Upstreams(b.timer.Boot()) {
+		b.pool.ApplyNotice(u, pool.Notice{StatesLimit: true, Limit: 1}, b.timer.Boot())
+	}
+	b.admission.TakePermit = func(context.Context, pool.Upstream) (pool.PermitAnswer, error) {
+		*taken++
+		return grant(*taken), nil
+	}
+	b.admission.ReturnPermit = func(pool.Upstream) { *returned++ }
+	return taken, returned
+}
+
+func grantAll(int) pool.PermitAnswer { return pool.PermitAnswer{Granted: true} }
+
+// TestEachSendTakesAPermit has an upstream reject a request and break a stream. The retry
+// and the resumed stream need a permit each, and are sent so that they arrive only once.
+func TestEachSendTakesAPermit(t *testing.T) {
+	b := newHarness(2)
+	taken, returned := b.limitAll(grantAll)
+	b.respond = func(n int, _ dispatch.UpstreamRequest) (*dispatch.Response, error) {
+		switch n {
+		case 1:
+			return notRun(http.StatusServiceUnavailable), nil
+		case 2:
+			return stream(firstHalf, true), nil
+		default:
+			return stream(secondHalf, false), nil
+		}
+	}
+	if _, err := b.serve("/chat/x"); err != nil {
+		t.Fatal(err)
+	}
+	if *taken != 3 || *returned != 0 {
+		t.Errorf("%d permits taken and %d returned for 3 sends", *taken, *returned)
+	}
+	for _, s := range b.sends {
+		if !s.AtMostOnce {
+			t.Error("a request with a permit may arrive twice")
+		}
+	}
+}
+
+// TestPermitIsReturnedOnlyIfNothingWasSent fails the first send.
+func TestPermitIsReturnedOnlyIfNothingWasSent(t *testing.T) {
+	for err, want := range map[error]int{relay.ErrNotSent: 1, relay.ErrConnectionBroken: 0} {
+		b := newHarness(2)
+		_, returned := b.limitAll(grantAll)
+		b.respond = func(n int, _ dispatch.UpstreamRequest) (*dispatch.Response, error) {
+			if n == 1 {
+				return nil, err
+			}
+			return response(http.StatusOK, "done"), nil
+		}
+		if _, x := b.serve("/look/x"); x != nil {
+			t.Fatal(x)
+		}
+		if *returned != want {
+			t.Errorf("%v: %d permits returned, want %d", err, *returned, want)
+		}
+	}
+}
+
+// TestRequestWithoutPermitTakesNoRetry refuses every permit. The request is refused at once
+// with the time at which the first upstream grants one, and no retry is used for it.
+func TestRequestWithoutPermitTakesNoRetry(t *testing.T) {
+	b := newHarness(2)
+	taken, _ := b.limitAll(func(n int) pool.PermitAnswer { return pool.PermitAnswer{Wait: time.Duration(n) * time.Minute} })
+	started := b.timer.Boot()
+	_, err := b.serve("/look/x")
+	r := refusal.As(err)
+	if r.Status != http.StatusServiceUnavailable || r.Run != refusal.NotRun || r.RetryAfter < 50*time.Second {
+		t.Errorf("refused with status %d, run %v, retry after %v", r.Status, r.Run, r.RetryAfter)
+	}
+	if waited := b.timer.Boot() - started; len(b.sends) != 0 || *taken != 2 || waited > callerTimeout/4 {
+		t.Errorf("%d sends, %d permits asked for, refused after %v", len(b.sends), *taken, waited)
+	}
+	for _, n := range b.d.Budget.Counts() {
+		if n.Retries != 0 {
+			t.Errorf("%v retries used", n.Retries)
+		}
+	}
+}
