--- a/state/pool/limit_fleet_test.go
+++ b/state/pool/limit_fleet_test.go
@@ -50,7 +50,6 @@
 	owner           int
 	down, cut       bool
 	frozenUntil     time.Duration
-	faultyFrom      time.Duration
 	unavailableFrom time.Duration
 	excusedUntil    time.Duration
 }
