entry: tell the requester when a limited engine takes an order again

A request for an adapter that is not loaded asks the owner of a limited engine for a load. Without a permit for the order it got an error, and searched on until its deadline for an upstream. The owner now answers with the time of the next permit, so that the engine is not chosen before, and the request is refused at once if all engines are limited.

TestLoadsOnLimitedEnginesAreRefusedWithRetryAfter passes before this change too, as its instances have already asked for permits of their own; it covers loads on limited engines, not this answer.

--- a/entry/owners.go
+++ b/entry/owners.go
@@ -106,6 +106,9 @@
 		return 0, orders.ErrFull
 	case r.Absent:
 		return 0, orders.ErrNotLoaded
+	case r.LimitedMs > 0:
+		e.pool.DeferPermit(pool.ID(q.Upstream), e.timer.Boot()+time.Duration(r.LimitedMs)*time.Millisecond)
+		return 0, orders.ErrNotAdmitted
 	}
 	e.usageReports.MarkRequested(owner)
 	id := pool.ID(q.Upstream)
@@ -214,14 +217,21 @@
 	Running int64 `protobuf:"varint,5,opt,name=running,proto3"`
 	Unread  int64 `protobuf:"varint,6,opt,name=unread,proto3"`
 	Tokens  int64 `protobuf:"varint,7,opt,name=tokens,proto3"`
+	// LimitedMs is set if the rate limit of the engine allows no order now: the time until the
+	// owner grants the next permit.
+	LimitedMs int64 `protobuf:"varint,8,opt,name=limited_ms,proto3"`
 }
 
 func (r *loadReply) busy() pool.Usage {
 	return pool.Usage{Running: int(r.Running), PrefillTokens: int(r.Unread), Tokens: int(r.Tokens)}
 }
 
-func newLoadReply(ready time.Duration, err error) (*loadReply, error) {
+// newLoadReply encodes the answer of an owner. The parameter limited is the time for which the
+// engine takes no order because of its rate limit.
+func newLoadReply(ready, limited time.Duration, err error) (*loadReply, error) {
 	switch {
+	case errors.Is(err, orders.ErrNotAdmitted) && limited > 0:
+		return &loadReply{LimitedMs: limited.Milliseconds() + 1}, nil
 	case errors.Is(err, orders.ErrStoreBusy):
 		return &loadReply{StoreBusy: true}, nil
 	case errors.Is(err, orders.ErrFull):
@@ -235,8 +245,9 @@
 // registerOrderHandlers registers the handlers for calls to the owner of an engine.
 func (e *Entry) registerOrderHandlers() {
 	mesh.Handle(e.mesh, loadMethod, func(c context.Context, _ string, q *loadRequest) (*loadReply, error) {
-		r, err := newLoadReply(e.answerAsOwner(c, q.Held, q))
-		if err != nil || r.StoreBusy || r.Full || r.Absent {
+		ready, err := e.answerAsOwner(c, q.Held, q)
+		r, err := newLoadReply(ready, e.pool.PermitWait(pool.ID(q.Upstream), e.timer.Boot()), err)
+		if err != nil || r.StoreBusy || r.Full || r.Absent || r.LimitedMs > 0 {
 			return r, err
 		}
 		u, _ := e.pool.TotalUsage(pool.ID(q.Upstream), e.timer.Boot())
--- a/state/pool/limit.go
+++ b/state/pool/limit.go
@@ -163,3 +163,13 @@
 		e.permitsAt = until
 	}
 }
+
+// PermitWait returns the time until a permit for an upstream may be available, or 0.
+func (p *Pool) PermitWait(id ID, now time.Duration) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if e, ok := p.entries[id]; ok && e.verdict(now) == Limited {
+		return e.permitsAt - now
+	}
+	return 0
+}
