proof: withdraw the key once the streams have reached their callers

TestWithdrawnKeyEndsRunningStreamsEverywhere failed once beside load: two of three streams got 401 "the key was withdrawn while the answer ran", run "ran". The test waited until the engines ran the streams, not until an event had arrived; before that, a whole refusal is the right answer, and it is true. The test now waits for the first byte of each answer too. What it checks is unchanged.

--- a/proof/lists_test.go
+++ b/proof/lists_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -31,17 +33,23 @@
 // that are already running, on every instance, and leave those of other workspaces alone.
 func TestWithdrawnKeyEndsRunningStreamsEverywhere(t *testing.T) {
 	w, keys := newThreeInstances(t, options{engines: 2, slots: 4, checksFencing: true, stepTime: 20 * time.Millisecond})
+	// begun counts the streams whose first part has reached its caller. One that is ended
+	// before gets a whole answer, which says that the key was withdrawn.
+	var begun atomic.Int64
+	c, cancel := context.WithTimeout(context.Background(), waitTimeout)
+	defer cancel()
+	c = httptrace.WithClientTrace(c, &httptrace.ClientTrace{GotFirstResponseByte: func() { begun.Add(1) }})
 	responses := make(chan response, len(w.nodes))
 	for _, n := range w.nodes {
 		go func() {
-			responses <- w.send(n, http.MethodPost, chatPath, keys["alpha"], streamedChatBody("raven", 2000, "long"))
+			responses <- w.sendWith(c, n, http.MethodPost, chatPath, keys["alpha"], streamedChatBody("raven", 2000, "long"))
 		}()
 	}
 	other := make(chan response, 1)
 	go func() {
-		other <- w.send(w.nodes[0], http.MethodPost, chatPath, keys["beta"], streamedChatBody("duck", 100, "x"))
+		other <- w.sendWith(c, w.nodes[0], http.MethodPost, chatPath, keys["beta"], streamedChatBody("duck", 100, "x"))
 	}()
-	eventually(t, "the streams run", func() bool { return len(w.engineRuns()) == 4 })
+	eventually(t, "the streams run", func() bool { return len(w.engineRuns()) == 4 && begun.Load() == 4 })
 	w.revokeKey("key-alpha")
 	for range w.nodes {
 		a := <-responses
