pool: let a busy fleet load adapters on limited engines

A load on an engine with a limit cost 1.5 s in the choice. An engine whose adapters nobody asks for any more got no requests then, so that no response could end its limit, and its places stayed unused. The cost is now that of a load from the weight store, 0.3 s; loads still need a permit each. The test failed with the former cost.

--- a/state/pool/choose.go
+++ b/state/pool/choose.go
@@ -73,9 +73,10 @@
 	// fetchPenalty is the cost of loading an adapter from the weight store, in addition
 	// to the load time.
 	fetchPenalty = 300 * time.Millisecond
-	// limitedLoadPenalty is the cost of a load on an engine with a rate limit: the order
-	// needs a permit too.
-	limitedLoadPenalty = 1500 * time.Millisecond
+	// limitedLoadPenalty is the cost of a load on an engine with a rate limit, whose order
+	// needs a permit too. It is small enough for a busy fleet to load adapters there: an
+	// engine whose adapters nobody asks for sends no response that ends its limit.
+	limitedLoadPenalty = 300 * time.Millisecond
 	// plainRequestTime is the assumed duration of a request to a plain service.
 	plainRequestTime = 60 * time.Millisecond
 )
--- a/state/pool/limit_test.go
+++ b/state/pool/limit_test.go
@@ -131,3 +131,20 @@
 		t.Error("the upstream was not chosen after the wait")
 	}
 }
+
+// A limited engine loads new adapters only if the others are busy. It must not be left out
+// for good, as only its responses can end the limit.
+func TestLimitedEngineLoadsWhenOthersAreBusy(t *testing.T) {
+	p := engines(2)
+	u, _ := p.Get("e0", now)
+	p.ApplyNotice(u, pool.Notice{StatesLimit: true, Limit: 2}, now)
+	if c := choose(t, p, request(a1)); c.ID != "e1" || !c.NeedsLoad {
+		t.Errorf("chosen %s, want e1 while it is idle", c.ID)
+	}
+	for range 8 {
+		p.Begin("e1", a2, pool.Usage{Running: 1, PrefillTokens: 2400, Tokens: 2424})
+	}
+	if c := choose(t, p, request(a1)); c.ID != "e0" || !c.NeedsLoad {
+		t.Errorf("chosen %s, want the limited e0 while e1 is busy", c.ID)
+	}
+}
