dispatch: check the key again before each send

Cause: the key was checked when the request was admitted. The instance thawed, admitted the request under the configuration that it still had, sent it to an upstream that did not answer, and sent it again 0.8 s later, when the configuration without the key had been in force there for 0.4 s.

A request whose key is revoked while it waits for an adapter, a permit or an upstream is now refused with 401 if it has not run.

--- a/protocol/dispatch/attempt.go
+++ b/protocol/dispatch/attempt.go
@@ -47,6 +47,10 @@
 			return d.finalError(c, j, last, err)
 		}
 		j.choice = h
+		if err = d.checkKey(j); err != nil {
+			d.countEnd(j, h.ID)
+			return d.finalError(c, j, last, err)
+		}
 		if j.permitted, err = d.Admission.Check(c, h.Upstream, j.ID); err != nil {
 			d.countEnd(j, h.ID)
 			j.avoid[h.ID] = true
@@ -65,6 +69,21 @@
 	}
 }
 
+// checkKey refuses a request whose key was revoked since it was admitted.
+//
+// Load pattern: a request waits for an adapter or for an unresponsive upstream while the
+// configuration that revokes its key comes into force.
+func (d *Dispatcher) checkKey(j *job) error {
+	t := d.Table()
+	if j.workspace == nil || t.Version == j.configuration {
+		return nil
+	}
+	if w, ok := t.WorkspaceByKey(j.Key); ok && w.Name == j.workspace.Name {
+		return nil
+	}
+	return refusal.New(refusal.KeyUnknown, http.StatusUnauthorized, "the key was revoked while the request waited")
+}
+
 // mayRetry reports whether the request may be sent again. If so, it takes a retry from
 // the retry budget.
 func (d *Dispatcher) mayRetry(c context.Context, j *job, err error) bool {
--- a/protocol/dispatch/dispatch_test.go
+++ b/protocol/dispatch/dispatch_test.go
@@ -42,8 +42,11 @@
 	d       *dispatch.Dispatcher
 	timer   *timer.Service
 	// context is the context of the last send.
-	context   context.Context
-	admission *admission.Admission
+	context       context.Context
+	admission     *admission.Admission
+	configuration route.Config
+	// table is the configuration in force.
+	table *route.Table
 }
 
 func newHarness(upstreams int) *harness {
@@ -56,7 +59,7 @@
 	}
 	b.load = func() (time.Duration, error) { return 0, nil }
 	b.reserve = func(pool.ID) (time.Duration, error) { return 0, nil }
-	t := route.New(route.Config{
+	b.configuration = route.Config{
 		Version: 1,
 		Routes: []route.Route{
 			{Name: "chat", Host: "h", Prefix: "/chat/", Kind: route.Stream, Resumable: true, MaxAttempts: 2, Objective: 100 * time.Millisecond, Targets: []route.Target{{Service: "models", Weight: 1}}},
@@ -66,13 +69,14 @@
 		},
 		Services:   []route.Service{{Name: "models", Engine: &route.Engine{CacheTokens: 150_000, AdapterSlots: 6}}, {Name: "orders"}},
 		Workspaces: []route.Workspace{{Name: "guild", Keys: []string{"key"}, ByTokens: true, Rate: 1000, Burst: 1000}},
-	})
+	}
+	b.table = route.New(b.configuration)
 	b.admission = admission.New(b.pool, b.timer, zap.NewNop())
 	b.d = dispatch.New(dispatch.Settings{
 		Capacity:   pool.Capacity{TokensPerSecond: 25_800, StepTime: 8 * time.Millisecond, LoadTime: 255 * time.Millisecond, ReloadTime: 30 * time.Millisecond},
 		RetryRatio: 0.2, RetryBurst: 100,
 	}, dispatch.Services{
-		Timer: b.timer, Pool: b.pool, Log: zap.NewNop(), Table: func() *route.Table { return t },
+		Timer: b.timer, Pool: b.pool, Log: zap.NewNop(), Table: func() *route.Table { return b.table },
 		Versions: func(pool.Adapter, time.Duration) (newest, oldest route.Version) { return 0, 0 },
 		Charge:   func(_ *route.Workspace, n float64) error { b.charged += n; return nil },
 		Refund:   func(_ *route.Workspace, n float64) { b.charged -= n },
@@ -598,3 +602,34 @@
 		}
 	}
 }
+
+// TestRequestIsNotRetriedWithARevokedKey revokes the key of a request while it waits for an
+// upstream that rejects it. The retry once ran seconds after the revocation (soak seed
+// 2043).
+func TestRequestIsNotRetriedWithARevokedKey(t *testing.T) {
+	for name, x := range map[string]struct {
+		keys  []string
+		sends int
+	}{"revoked": {nil, 1}, "another key added": {[]string{"key", "new"}, 2}} {
+		b := newHarness(2)
+		b.respond = func(n int, _ dispatch.UpstreamRequest) (*dispatch.Response, error) {
+			if n == 1 {
+				k := b.configuration
+				k.Version, k.Workspaces = 2, []route.Workspace{{Name: "guild", Keys: x.keys, ByTokens: true, Rate: 1000, Burst: 1000}}
+				b.table = route.New(k)
+				return notRun(http.StatusServiceUnavailable), nil
+			}
+			return response(http.StatusOK, "done"), nil
+		}
+		_, err := b.serve("/look/x")
+		if len(b.sends) != x.sends {
+			t.Errorf("%s: %d sends, want %d", name, len(b.sends), x.sends)
+		}
+		if r := refusal.As(err); x.sends == 1 && (r.Status != http.StatusUnauthorized || r.Run != refusal.NotRun) {
+			t.Errorf("%s: refused with status %d, run %v", name, r.Status, r.Run)
+		}
+		if x.sends == 2 && err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
