--- a/entry/permits.go
+++ b/entry/permits.go
@@ -94,6 +94,7 @@
 	}
 	m, known := e.members.get(owner)
 	if !known {
+		e.log.Info("permit not returned: owner is unknown", zap.String("upstream", string(u.ID)), zap.String("owner", owner))
 		return
 	}
 	q := e.newPermitRequest(u)
