pool: ignore a limit of another instance that is no number

A malformed message could set a rate that is not a number, for which no permit is ever granted and no next time is defined. measures: quick scores before and after.

--- a/state/pool/limit.go
+++ b/state/pool/limit.go
@@ -61,12 +61,12 @@
 }
 
 // MergeLimit applies a limit that another instance knows, and reports whether it was
-// newer. Limits of other processes of the upstream are ignored.
+// newer. Limits of other processes of the upstream, and malformed ones, are ignored.
 func (p *Pool) MergeLimit(l UpstreamLimit, now time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e, ok := p.tags[l.Upstream]
-	if !ok || e.StartedAt != l.StartedAt || !l.newer(e.reported.limit) {
+	if !ok || e.StartedAt != l.StartedAt || !(l.Rate >= 0) || !l.newer(e.reported.limit) {
 		return false
 	}
 	e.setLimit(l.Limit, now)
--- a/state/pool/limit_test.go
+++ b/state/pool/limit_test.go
@@ -1,6 +1,7 @@
 package pool_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -56,7 +57,12 @@
 	if p.MergeLimit(l, 4); p.Limit("s0").Rate != 1 {
 		t.Errorf("limit %v, want the stricter one", p.Limit("s0").Rate)
 	}
-	l.StartedAt, l.Revision = 2, 9
+	l.Limit = pool.Limit{Rate: pool.RequestsPerSecond(math.NaN()), Revision: 8}
+	if p.MergeLimit(l, 5) {
+		t.Error("a limit that is no number was applied")
+	}
+	l.Limit = pool.Limit{Rate: 1, Revision: 9}
+	l.StartedAt = 2
 	if p.MergeLimit(l, 5) {
 		t.Error("the limit of another process was applied")
 	}
