dispatch: log what was on an upstream as its connections break

A line for each broken connection says whether the process has ended and which parts the request had.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -70,6 +70,9 @@
 	Engines *orders.Engines
 	// Send sends a request to an upstream, as dispatch.Services.Send.
 	Send func(c context.Context, s dispatch.UpstreamRequest) (*dispatch.Response, error)
+	// HasEnded reports whether the process at an address has ended, so far as that can be told
+	// by a new connection to it.
+	HasEnded func(c context.Context, address string) bool
 	// The decode functions fail with an error that names the position of the fault in the row.
 	DecodeConfiguration  func(value []byte) (route.Config, error)
 	DecodeAdapterVersion func(value []byte) (AdapterVersion, error)
@@ -198,6 +201,7 @@
 		Charge: func(w *route.Workspace, n float64) error { return e.quota.charge(w, n, e.timer.Boot()) },
 		Refund: func(w *route.Workspace, n float64) { e.quota.refund(w, n, e.timer.Boot()) },
 		Load:   e.load, Reserve: e.reserve, HasOwner: e.hasOwner, ReportMissing: e.reportMissing, Send: e.Send, Rand: rand.Float64,
+		HasEnded:  e.HasEnded,
 		StopsAt:   func() time.Duration { return time.Duration(e.stopsAt.Load()) },
 		PeerCount: func() int { return int(e.peers.Load()) },
 		DataAges:  e.rowAges,
--- a/protocol/dispatch/attempt.go
+++ b/protocol/dispatch/attempt.go
@@ -128,6 +128,7 @@
 	stopTimer := d.startSilenceTimer(x, j, cancel)
 	sent := d.Timer.Boot()
 	d.recordLimitedSend(j)
+	j.sentAs, j.events = j.way(), 0
 	j.sends++
 	q := UpstreamRequest{
 		Request: j.Request, Upstream: j.choice.Upstream, Version: j.choice.Version, Remaining: j.deadline - sent,
@@ -170,16 +171,22 @@
 	if l.Rate == 0 {
 		return
 	}
-	way := "first"
+	way := j.way()
+	d.Metrics.countLimitedSend(way)
+	d.Log.Info("sent to limited upstream", zap.String("request", j.ID), zap.String("upstream", string(j.choice.ID)), zap.String("way", way),
+		zap.Float64("limit", float64(l.Rate)), zap.Int64("limit-revision", l.Revision))
+}
+
+// way returns the way of the next send: first, retry or resume.
+func (j *job) way() string {
 	switch {
 	case j.started:
-		way = "resume"
+		return "resume"
 	case j.sends > 0:
-		way = "retry"
+		return "retry"
+	default:
+		return "first"
 	}
-	d.Metrics.countLimitedSend(way)
-	d.Log.Info("sent to limited upstream", zap.String("request", j.ID), zap.String("upstream", string(j.choice.ID)), zap.String("way", way),
-		zap.Float64("limit", float64(l.Rate)), zap.Int64("limit-revision", l.Revision))
 }
 
 // urgency returns the urgency of a request, from 0 for the most urgent to 9. The
@@ -245,6 +252,7 @@
 		return eris.Wrap(errTryAnother, "the upstream cannot be reached")
 	}
 	j.runs++
+	d.recordBreak(c, j)
 	return eris.Wrap(errTryAnother, "upstream did not respond")
 }
 
--- a/protocol/dispatch/dispatch.go
+++ b/protocol/dispatch/dispatch.go
@@ -23,6 +23,7 @@
 	"gentiangauge.example/gentiangauge/state/pool"
 	"gentiangauge.example/gentiangauge/state/retry"
 	"gentiangauge.example/gentiangauge/state/route"
+	"gentiangauge.example/gentiangauge/state/suspicion"
 	"gentiangauge.example/gentiangauge/timer"
 )
 
@@ -43,6 +44,8 @@
 	// PromptTokens and OutputTokens are 0 when the request does not state them.
 	PromptTokens int
 	OutputTokens int
+	// Parts are the parts of the prompt that other requests may share.
+	Parts []suspicion.Part
 	// ResumeAfter is the id of the last event that the caller has received.
 	ResumeAfter string
 	// Arrived is the instant at which the request arrived. Timeout is how long the
@@ -120,6 +123,8 @@
 	// Send sends a request to an upstream. It fails with relay.ErrNotSent or
 	// relay.ErrConnectionBroken.
 	Send func(c context.Context, s UpstreamRequest) (*Response, error)
+	// HasEnded reports whether the process at an address has ended.
+	HasEnded func(c context.Context, address string) bool
 	// StopsAt returns the instant at which the instance stops, or 0 if it is not
 	// stopping.
 	StopsAt func() time.Duration
@@ -193,7 +198,11 @@
 	// started is set once a part of a response has been sent to the caller.
 	started   bool
 	lastEvent string
-	choice    pool.Choice
+	// sentAs is the way of the present send.
+	sentAs string
+	// events is the number of events of the present send that have arrived.
+	events int
+	choice pool.Choice
 	// permitted is set if the present send has taken a permit for a limited upstream.
 	permitted bool
 	// usage is the load that the request adds to the chosen upstream in the pool.
--- a/protocol/dispatch/forward.go
+++ b/protocol/dispatch/forward.go
@@ -68,6 +68,7 @@
 	}
 	d.Pool.RecordOutcome(j.choice.ID, pool.Failed, d.Timer.Boot())
 	j.avoid[j.choice.ID] = true
+	d.recordBreak(c, j)
 	d.Log.Info("answer cut", zap.String("request", j.ID), zap.String("upstream", string(j.choice.ID)), zap.String("last-event", j.lastEvent), zap.Error(err))
 	return eris.Wrap(errTryAnother, "upstream truncated its response")
 }
@@ -88,6 +89,7 @@
 					return d.handleTruncation(c, j, err)
 				}
 			}
+			j.events += countEvents(pending[:complete])
 			if x := d.forwardEvents(w, flush, j, a, pending[:complete]); x != nil {
 				return x
 			}
@@ -135,6 +137,11 @@
 	return end
 }
 
+// countEvents returns the number of events in b, which ends with a complete one.
+func countEvents(b []byte) int {
+	return bytes.Count(b, []byte("\n\n")) + bytes.Count(b, []byte("\r\n\r\n"))
+}
+
 // lastEventID returns the id of the last event in b that has one.
 func lastEventID(b []byte) (string, bool) {
 	lines := strings.Split(string(b), "\n")
--- a/protocol/dispatch/metrics.go
+++ b/protocol/dispatch/metrics.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -15,6 +16,8 @@
 	firstParts *prometheus.HistogramVec
 	// limitedSends counts the sends to upstreams that have set a rate limit.
 	limitedSends *prometheus.CounterVec
+	// breaks counts the connections that broke during a request.
+	breaks *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics of a dispatcher.
@@ -31,7 +34,10 @@
 			Name: "gentiangauge_dispatch_limited_sends_total", Help: "Requests sent to upstreams that have set a rate limit, by way: first, retry or resume.",
 		}, []string{"way"}),
 	}
-	r.MustRegister(m.refusals, m.firstParts, m.limitedSends)
+	m.breaks = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "gentiangauge_dispatch_breaks_total", Help: "Connections that broke during a request, by whether the upstream has ended.",
+	}, []string{"ended"})
+	r.MustRegister(m.refusals, m.firstParts, m.limitedSends, m.breaks)
 	return m
 }
 
@@ -43,6 +49,10 @@
 	m.limitedSends.WithLabelValues(way).Inc()
 }
 
+func (m *Metrics) countBreak(ended bool) {
+	m.breaks.WithLabelValues(strconv.FormatBool(ended)).Inc()
+}
+
 func (m *Metrics) observeFirstPart(k route.Kind, d time.Duration) {
 	m.firstParts.WithLabelValues(k.String()).Observe(d.Seconds())
 }
