--- a/coordination/gossip/gossip.go
+++ b/coordination/gossip/gossip.go
@@ -69,6 +69,12 @@
 	Limits []pool.UpstreamLimit
 }
 
+// Suspicions is an encoded announcement of package suspect by an instance.
+type Suspicions struct {
+	Name string
+	Data []byte
+}
+
 // reportID identifies a report of an instance; later reports have higher IDs.
 type reportID struct {
 	run, sequence int64
@@ -86,6 +92,9 @@
 	// OnLimits is called with limits of upstreams that another instance announces outside
 	// of heartbeats. They may arrive in any order.
 	OnLimits func(l Limits)
+	// OnSuspicions is called with the announcements of crashes of other instances, in heartbeats
+	// or outside of them. They may arrive in any order.
+	OnSuspicions func(s Suspicions)
 	// Addresses returns the addresses of the other instances: near ones get each
 	// heartbeat; far ones, in other availability zones, get some of them.
 	Addresses func() (near, far []netip.AddrPort)
@@ -221,7 +230,12 @@
 		return
 	}
 	b := m.heartbeat()
+	if len(m.Suspicions) > 0 && b.Name != g.name && g.OnSuspicions != nil {
+		g.OnSuspicions(Suspicions{Name: b.Name, Data: m.Suspicions})
+	}
 	switch {
+	case m.SuspicionsOnly:
+		return
 	case m.LimitsOnly:
 		if g.OnLimits != nil {
 			g.OnLimits(Limits{Name: b.Name, Limits: b.Limits})
@@ -259,9 +273,18 @@
 func (g *Gossip) SendLimits(l []pool.UpstreamLimit) {
 	m := Heartbeat{Name: g.name, Limits: l}.message()
 	m.LimitsOnly = true
+	g.sendToAll(m)
+}
+
+// SendSuspicions sends an announcement of package suspect to all other instances.
+func (g *Gossip) SendSuspicions(data []byte) {
+	g.sendToAll(&heartbeatMessage{Name: g.name, Suspicions: data, SuspicionsOnly: true})
+}
+
+func (g *Gossip) sendToAll(m *heartbeatMessage) {
 	data, err := mesh.Marshal(m)
-	if err != nil {
-		g.log.Error("failed to encode limits", zap.Error(err))
+	if err != nil || len(data) > maxDatagram {
+		g.log.Error("announcement not sent: encoding failed or larger than a datagram", zap.Int("bytes", len(data)), zap.Error(err))
 		return
 	}
 	near, far := g.Addresses()
--- a/coordination/gossip/heartbeat.go
+++ b/coordination/gossip/heartbeat.go
@@ -77,6 +77,8 @@
 	Loading int
 	// Limits are the rate limits of upstreams, in force or ended lately.
 	Limits []pool.UpstreamLimit
+	// Suspicions is an encoded announcement of package suspect, or empty.
+	Suspicions []byte
 }
 
 // heartbeatMessage is a heartbeat on the wire. It has parallel lists of numbers instead
@@ -128,6 +130,10 @@
 	LimitRevisions []int64   `protobuf:"varint,36,rep,packed,name=limit_revisions,proto3"`
 	// LimitsOnly marks a message that is no heartbeat and carries only limits.
 	LimitsOnly bool `protobuf:"varint,37,opt,name=limits_only,proto3"`
+	// Suspicions is an announcement of package suspect; SuspicionsOnly marks a message that
+	// carries nothing else.
+	Suspicions     []byte `protobuf:"bytes,38,opt,name=suspicions,proto3"`
+	SuspicionsOnly bool   `protobuf:"varint,39,opt,name=suspicions_only,proto3"`
 }
 
 // placementMessage is a Placement on the wire. Versions, ReadyInMs and Running are in
@@ -153,6 +159,7 @@
 		Name: b.Name, Run: b.Run, Sequence: b.Sequence, Serving: b.Serving, UptimeMs: b.Uptime.Milliseconds(),
 		Lease: int64(b.Lease), Surrendered: b.Surrendered, Loading: int64(b.Loading),
 		Zone: b.Zone, Unsteady: b.StoreUnstable, Reading: b.ReadsStore, Vouching: b.StoreConfirmed, Front: b.FrontAddress, Peer: b.PeerAddress, Listings: b.ListingsDigest,
+		Suspicions: b.Suspicions,
 	}
 	for t, v := range b.Versions {
 		m.Tables, m.Versions = append(m.Tables, uint32(t)), append(m.Versions, int64(v))
@@ -206,7 +213,7 @@
 	b := Heartbeat{
 		Name: m.Name, Run: m.Run, Sequence: m.Sequence, Serving: m.Serving, Uptime: time.Duration(m.UptimeMs) * time.Millisecond,
 		Lease: mirror.Version(m.Lease), Surrendered: m.Surrendered, Loading: int(m.Loading),
-		Zone: m.Zone, StoreUnstable: m.Unsteady, ReadsStore: m.Reading, StoreConfirmed: m.Vouching, FrontAddress: m.Front, PeerAddress: m.Peer, ListingsDigest: m.Listings,
+		Zone: m.Zone, StoreUnstable: m.Unsteady, ReadsStore: m.Reading, StoreConfirmed: m.Vouching, FrontAddress: m.Front, PeerAddress: m.Peer, ListingsDigest: m.Listings, Suspicions: m.Suspicions,
 		Versions: map[pool.Tag]mirror.Version{}, Spent: map[pool.Tag]float64{}, Sent: map[pool.Tag]retry.Count{},
 	}
 	for i := range min(len(m.Tables), len(m.Versions)) {
--- a/coordination/suspect/suspect.go
+++ b/coordination/suspect/suspect.go
@@ -1,239 +1,285 @@
-// Package suspect detects requests that crash the engines that run them, so that the whole fleet
-// refuses them.
+// Package suspect detects parts of prompts, and whole requests, that crash the upstreams that run
+// them, so that the whole fleet refuses them. It exchanges what package suspicion decides by.
 package suspect
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
-	"gentiangauge.example/gentiangauge/coordination/fleet"
-	"gentiangauge.example/gentiangauge/state/adapter"
+	"gentiangauge.example/gentiangauge/state/suspicion"
 	"gentiangauge.example/gentiangauge/state/timeline"
 	"gentiangauge.example/gentiangauge/timer"
 	"gentiangauge.example/gentiangauge/transport/mesh"
-	"gentiangauge.example/gentiangauge/transport/provider"
 )
 
-//go:generate go tool stringer -type=Status -linecomment
-
-// Fingerprint is the hash of the content of a request to an engine.
-type Fingerprint string
-
-// Status is the status of a request by its fingerprint.
-type Status int
-
-// Statuses. A suspected request ran on an engine that crashed, and runs without other requests on
-// the engine from then on. A blocked one crashed a second engine.
 const (
-	Clean     Status = iota // clean
-	Suspected               // suspected
-	Blocked                 // blocked
-)
-
-// Crash identifies the run of an engine that ended while the request ran on it.
-type Crash struct {
-	Upstream    adapter.UpstreamID
-	Incarnation adapter.Incarnation
-}
-
-type entry struct {
-	crashes map[Crash]bool
-	until   time.Time
-}
-
-const (
-	blockAfterCrashes = 2
-	retention         = 10 * time.Minute
-	announceMethod    = "suspect/tell"
-	rowPrefix         = "suspect/"
-	announceTimeout   = 500 * time.Millisecond
-	maxRows           = 1000
+	// repeatTime is how long own evidence is repeated, because announcements may be lost. The
+	// heartbeats between availability zones of a large fleet are some three seconds apart.
+	repeatTime = 4 * time.Second
+	// maxRepeated bounds the crashes and the parts that are repeated at a time.
+	maxRepeated = 128
+	// reportWait is the time in which the other instances report what they had on an upstream
+	// that has crashed.
+	reportWait = 100 * time.Millisecond
 )
 
 // Services are the dependencies of Registry.
 type Services struct {
-	Timer    *timer.Service
-	Fleet    *fleet.Fleet
-	Mesh     *mesh.Mesh
-	Table    *provider.Table
+	Timer *timer.Service
+	Log   *zap.Logger
+	// Announce sends an encoded announcement to all other instances. It may be lost.
+	Announce func(c context.Context, data []byte)
+	// OnCrash is called with each new crash, of this instance or another. Nil ignores it.
+	OnCrash func(x suspicion.Crash)
+	// Store stores a new verdict for instances that start later. Nil stores none here.
+	Store func(c context.Context, v suspicion.Verdict)
+	// Recorder records crashes and verdicts in the time line. It may be nil.
 	Recorder *timeline.Recorder
-	Log      *zap.Logger
+	// Metrics may be nil.
+	Metrics *Metrics
 }
 
-// Registry holds the suspected and blocked requests of the fleet.
+// Registry holds what the fleet knows about parts that crash upstreams. It is safe for concurrent
+// use.
 type Registry struct {
 	Services
-	mu      sync.Mutex
-	entries map[Fingerprint]*entry
+	ledger *suspicion.Ledger
+	mu     sync.Mutex
+	// crashes and sound are what this instance has observed lately.
+	crashes []ownCrash
+	sound   []ownSound
 }
 
-type crashMessage struct {
-	mesh.Message
-	Upstream    string `protobuf:"bytes,1,opt,name=upstream,proto3"`
-	Incarnation int64  `protobuf:"varint,2,opt,name=incarnation,proto3"`
+type ownCrash struct {
+	suspicion.Evidence
+	at time.Duration
 }
 
-type announcement struct {
-	mesh.Message
-	Fingerprint string        `protobuf:"bytes,1,opt,name=fingerprint,proto3"`
-	Crash       *crashMessage `protobuf:"bytes,2,opt,name=crash,proto3"`
-	Cleared     bool          `protobuf:"varint,3,opt,name=cleared,proto3"`
+type ownSound struct {
+	part suspicion.Part
+	at   time.Duration
 }
 
-type announcementReply struct {
-	mesh.Message
+// New returns an empty registry, in which a part is suspected after a number of crashes.
+func New(suspectAfter int, s Services) *Registry {
+	s.Log = s.Log.Named("suspect")
+	return &Registry{Services: s, ledger: suspicion.NewLedger(suspectAfter)}
 }
 
-// New returns an empty registry.
-func New(s Services) *Registry {
-	s.Log = s.Log.Named("suspect")
-	r := &Registry{Services: s, entries: map[Fingerprint]*entry{}}
-	mesh.Handle(s.Mesh, announceMethod, func(_ context.Context, _ string, q *announcement) (*announcementReply, error) {
-		f := Fingerprint(q.Fingerprint)
-		if q.Cleared {
-			r.remove(f)
-		}
-		if q.Crash != nil {
-			r.add(f, Crash{Upstream: adapter.UpstreamID(q.Crash.Upstream), Incarnation: adapter.Incarnation(q.Crash.Incarnation)})
-		}
-		return &announcementReply{}, nil
-	})
-	return r
+// Status returns the status of a request with some parts and, if it is suspected, the part that
+// has crashed the most upstreams.
+func (r *Registry) Status(parts []suspicion.Part) (suspicion.Status, suspicion.Part) {
+	return r.ledger.Status(parts, r.Timer.Boot())
 }
 
-// Status returns the status of a request.
-func (r *Registry) Status(f Fingerprint) Status {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	e, ok := r.entries[f]
-	switch {
-	case !ok:
-		return Clean
-	case r.Timer.Now().After(e.until):
-		delete(r.entries, f)
-		return Clean
-	case len(e.crashes) >= blockAfterCrashes:
-		return Blocked
-	default:
-		return Suspected
-	}
-}
-
-func (r *Registry) add(f Fingerprint, x Crash) Status {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	e, ok := r.entries[f]
+// RecordCrash records that the process of an upstream ended before it had answered a request with
+// some parts, and tells all instances. Trial is set if the request was sent although it was
+// suspected, without another such request beside it. It returns the new status of the request.
+func (r *Registry) RecordCrash(c context.Context, x suspicion.Crash, parts []suspicion.Part, trial bool) suspicion.Status {
+	e := suspicion.Evidence{Crash: x, Parts: parts}
+	now := r.Timer.Boot()
+	if r.addCrash(e, "this instance") {
+		r.mu.Lock()
+		r.crashes = append(r.crashes, ownCrash{Evidence: e, at: now})
+		r.mu.Unlock()
+		r.send(c, &announcement{Crashes: []*crashMessage{encodeCrash(e)}})
+	}
+	if trial {
+		r.decide(c, x, parts)
+	}
+	s, _ := r.Status(parts)
+	return s
+}
+
+// decide reaches a verdict on a suspected request that was on an upstream as it crashed.
+func (r *Registry) decide(c context.Context, x suspicion.Crash, parts []suspicion.Part) {
+	// The caller's context may end first; the verdict counts all the same.
+	c = context.WithoutCancel(c)
+	_ = r.Timer.Wait(c, reportWait)
+	v, ok := r.ledger.Convict(x, parts, r.Timer.Boot())
 	if !ok {
-		e = &entry{crashes: map[Crash]bool{}}
-		r.entries[f] = e
+		r.Log.Info("no verdict after a trial: another request may be the cause", zap.String("upstream", x.Upstream), zap.Int64("born", x.StartedAt), zap.Stringers("parts", parts))
+		return
 	}
-	e.crashes[x] = true
-	e.until = r.Timer.Now().Add(retention)
-	if len(e.crashes) >= blockAfterCrashes {
-		return Blocked
+	r.logVerdict("blocked", v, "this instance")
+	r.record(timeline.Blocked, x, v.Lead)
+	r.send(c, &announcement{Verdicts: []*verdictMessage{encodeVerdict(v)}})
+	if r.Store != nil {
+		r.Store(c, v)
 	}
-	return Suspected
 }
 
-func (r *Registry) remove(f Fingerprint) {
+// RecordSound records that an upstream answered a request with some parts and lives on. It costs
+// little as long as no crash is known.
+func (r *Registry) RecordSound(c context.Context, parts []suspicion.Part) {
+	now := r.Timer.Boot()
+	cleared, suspected := r.ledger.Clear(parts, now)
+	if len(cleared) == 0 {
+		return
+	}
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	delete(r.entries, f)
+	for _, p := range cleared {
+		r.sound = append(r.sound, ownSound{part: p, at: now})
+	}
+	r.mu.Unlock()
+	r.Metrics.countCleared(len(cleared))
+	if !suspected {
+		// The next heartbeats are soon enough.
+		return
+	}
+	r.Log.Info("parts cleared", zap.Stringers("parts", cleared))
+	r.record(timeline.Cleared, suspicion.Crash{}, cleared[0])
+	r.send(c, &announcement{Sound: encodeParts(cleared)})
 }
 
-// RecordCrash records that an engine crashed while the request ran on it, and returns the new
-// status of the request. It announces the crash to every member before it returns.
-func (r *Registry) RecordCrash(c context.Context, f Fingerprint, x Crash) Status {
-	s := r.add(f, x)
-	kind := timeline.Suspected
-	if s == Blocked {
-		kind = timeline.Blocked
-		r.persist(c, f)
+func (r *Registry) addCrash(e suspicion.Evidence, from string) bool {
+	if !r.ledger.AddCrash(e, r.Timer.Boot()) {
+		return false
 	}
-	r.Recorder.Record(timeline.Event{Part: timeline.Suspect, Kind: kind, Upstream: string(x.Upstream), Detail: string(f)})
-	r.announce(c, &announcement{Fingerprint: string(f), Crash: &crashMessage{Upstream: string(x.Upstream), Incarnation: int64(x.Incarnation)}})
-	return s
+	r.Log.Info("crash", zap.String("upstream", e.Upstream), zap.Int64("born", e.StartedAt), zap.String("from", from), zap.Stringers("parts", e.Parts))
+	r.Metrics.countCrashReport()
+	if len(e.Parts) > 0 {
+		r.record(timeline.Suspected, e.Crash, e.Parts[0])
+	}
+	if r.OnCrash != nil {
+		r.OnCrash(e.Crash)
+	}
+	return true
 }
 
-// Clear records that the request ran without other requests on the engine and did not crash it,
-// and announces that to every member.
-func (r *Registry) Clear(c context.Context, f Fingerprint) {
-	r.remove(f)
-	r.Recorder.Record(timeline.Event{Part: timeline.Suspect, Kind: timeline.Cleared, Detail: string(f)})
-	r.announce(c, &announcement{Fingerprint: string(f), Cleared: true})
+func (r *Registry) record(k timeline.Kind, x suspicion.Crash, p suspicion.Part) {
+	if r.Recorder != nil {
+		r.Recorder.Record(timeline.Event{Part: timeline.Suspect, Kind: k, Upstream: x.Upstream, Detail: p.String()})
+	}
 }
 
-// announce sends q to all peers in parallel. Failed calls are ignored.
-func (r *Registry) announce(c context.Context, q *announcement) {
-	x, cancel := context.WithTimeout(context.WithoutCancel(c), announceTimeout)
-	defer cancel()
-	var w sync.WaitGroup
-	for _, m := range r.Fleet.Peers() {
-		w.Go(func() {
-			_, _ = mesh.Call[announcement, announcementReply](x, r.Mesh, m.Mesh, announceMethod, q)
-		})
+func (r *Registry) logVerdict(text string, v suspicion.Verdict, from string) {
+	r.Log.Warn(text, zap.String("upstream", v.Upstream), zap.Int64("born", v.StartedAt), zap.Stringer("lead", v.Lead), zap.Stringers("parts", v.Parts), zap.String("from", from))
+}
+
+func (r *Registry) send(c context.Context, m *announcement) {
+	data, err := mesh.Marshal(m)
+	if err != nil {
+		r.Log.Error("failed to encode announcement", zap.Error(err))
+		return
+	}
+	r.Announce(c, data)
+}
+
+// Apply applies an announcement of another instance.
+func (r *Registry) Apply(from string, data []byte) {
+	var m announcement
+	if err := mesh.Unmarshal(data, &m); err != nil {
+		r.Log.Warn("failed to decode announcement", zap.String("from", from), zap.Int("bytes", len(data)), zap.Error(err))
+		return
+	}
+	for _, x := range m.Crashes {
+		r.addCrash(x.evidence(), from)
+	}
+	for _, x := range m.Verdicts {
+		if v, ok := x.verdict(); ok {
+			r.Merge(v, from)
+		}
+	}
+	if len(m.Sound) > 0 {
+		cleared, _ := r.ledger.Clear(decodeParts(m.Sound), r.Timer.Boot())
+		r.Metrics.countCleared(len(cleared))
 	}
-	w.Wait()
 }
 
-type storedCrash struct {
-	Upstream    string `json:"upstream"`
-	Incarnation int64  `json:"incarnation"`
+// Merge applies a verdict that another instance has told or stored.
+func (r *Registry) Merge(v suspicion.Verdict, from string) {
+	if r.ledger.Merge(v, r.Timer.Boot()) {
+		r.logVerdict("verdict learned", v, from)
+	}
 }
 
-type storedEntry struct {
-	Crashes   []storedCrash `json:"crashes"`
-	UntilUnix int64         `json:"until-unix-seconds"`
+// Verdicts returns all known verdicts, withdrawn ones too.
+func (r *Registry) Verdicts() []suspicion.Verdict {
+	return r.ledger.Verdicts(r.Timer.Boot())
 }
 
-// persist stores a blocked request for instances that start later.
-func (r *Registry) persist(c context.Context, f Fingerprint) {
+// Expire removes what is too old to count, and returns the verdicts among it.
+func (r *Registry) Expire() []suspicion.VerdictID {
+	return r.ledger.Expire(r.Timer.Boot())
+}
+
+// Payload returns what this instance repeats in its heartbeats: its own evidence of the last
+// seconds and all verdicts. It is nil if there is nothing.
+func (r *Registry) Payload() []byte {
+	now := r.Timer.Boot()
+	m := &announcement{}
 	r.mu.Lock()
-	var s storedEntry
-	if e := r.entries[f]; e != nil {
-		s.UntilUnix = e.until.Unix()
-		for x := range e.crashes {
-			s.Crashes = append(s.Crashes, storedCrash{Upstream: string(x.Upstream), Incarnation: int64(x.Incarnation)})
-		}
+	for len(r.crashes) > 0 && (now-r.crashes[0].at > repeatTime || len(r.crashes) > maxRepeated) {
+		r.crashes = r.crashes[1:]
+	}
+	for len(r.sound) > 0 && (now-r.sound[0].at > repeatTime || len(r.sound) > maxRepeated) {
+		r.sound = r.sound[1:]
+	}
+	for _, x := range r.crashes {
+		m.Crashes = append(m.Crashes, encodeCrash(x.Evidence))
+	}
+	for _, x := range r.sound {
+		m.Sound = append(m.Sound, uint64(x.part))
 	}
 	r.mu.Unlock()
-	b, _ := json.Marshal(s)
-	err := r.Table.Transact(context.WithoutCancel(c), provider.Transaction{Puts: []provider.Put{{Key: rowPrefix + string(f), Value: string(b)}}})
+	for _, v := range r.ledger.Verdicts(now) {
+		m.Verdicts = append(m.Verdicts, encodeVerdict(v))
+	}
+	if len(m.Crashes)+len(m.Sound)+len(m.Verdicts) == 0 {
+		return nil
+	}
+	data, err := mesh.Marshal(m)
 	if err != nil {
-		r.Log.Warn("could not store blocked request", zap.Error(err))
+		r.Log.Error("failed to encode announcement", zap.Error(err))
 	}
+	return data
 }
 
-// Restore reads the stored blocked requests and deletes the expired ones. It fails with
-// provider.ErrUnavailable.
-func (r *Registry) Restore(c context.Context) error {
-	rows, err := r.Table.List(c, rowPrefix, "", maxRows)
-	if err != nil {
-		return err
+// Metrics are the metrics of a registry.
+type Metrics struct {
+	crashReports, cleared prometheus.Counter
+}
+
+// NewMetrics registers the metrics of a registry. The function verdicts returns those in force.
+func NewMetrics(p prometheus.Registerer, verdicts func() []suspicion.Verdict) *Metrics {
+	m := &Metrics{
+		crashReports: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "gentiangauge_suspect_crash_reports_total", Help: "Reports of requests that were on an upstream as it crashed.",
+		}),
+		cleared: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "gentiangauge_suspect_cleared_total", Help: "Parts of requests that an upstream answered after a crash with them.",
+		}),
 	}
-	for _, row := range rows {
-		var s storedEntry
-		if json.Unmarshal([]byte(row.Value), &s) != nil {
-			continue
-		}
-		if time.Unix(s.UntilUnix, 0).Before(r.Timer.Now()) {
-			r.deleteRow(c, row)
-			continue
-		}
-		for _, x := range s.Crashes {
-			r.add(Fingerprint(row.Key[len(rowPrefix):]), Crash{Upstream: adapter.UpstreamID(x.Upstream), Incarnation: adapter.Incarnation(x.Incarnation)})
+	count := func(withdrawn bool) float64 {
+		n := 0.0
+		for _, v := range verdicts() {
+			if (len(v.Parts) == 0) == withdrawn {
+				n++
+			}
 		}
+		return n
 	}
-	return nil
+	p.MustRegister(m.crashReports, m.cleared, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "gentiangauge_suspect_verdicts", Help: "Verdicts that block requests.",
+	}, func() float64 { return count(false) }), prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "gentiangauge_suspect_withdrawn_verdicts", Help: "Verdicts that turned out to be wrong.",
+	}, func() float64 { return count(true) }))
+	return m
 }
 
-func (r *Registry) deleteRow(c context.Context, row provider.Row) {
-	_ = r.Table.Transact(c, provider.Transaction{
-		Conditions: []provider.Condition{{Key: row.Key, Version: row.Version}},
-		Deletes:    []string{row.Key},
-	})
+func (m *Metrics) countCrashReport() {
+	if m != nil {
+		m.crashReports.Inc()
+	}
+}
+
+func (m *Metrics) countCleared(n int) {
+	if m != nil {
+		m.cleared.Add(float64(n))
+	}
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -21,11 +21,13 @@
 	"gentiangauge.example/gentiangauge/coordination/gossip"
 	"gentiangauge.example/gentiangauge/coordination/orders"
 	"gentiangauge.example/gentiangauge/coordination/ownership"
+	"gentiangauge.example/gentiangauge/coordination/suspect"
 	"gentiangauge.example/gentiangauge/protocol/dispatch"
 	"gentiangauge.example/gentiangauge/state/mirror"
 	"gentiangauge.example/gentiangauge/state/pool"
 	"gentiangauge.example/gentiangauge/state/retry"
 	"gentiangauge.example/gentiangauge/state/route"
+	"gentiangauge.example/gentiangauge/state/suspicion"
 	"gentiangauge.example/gentiangauge/state/timeline"
 	"gentiangauge.example/gentiangauge/state/usage"
 	"gentiangauge.example/gentiangauge/timer"
@@ -137,6 +139,12 @@
 	ownerCalls   *ownerCalls
 	retries      *retry.Budget
 	usageReports *usage.Reports
+	suspects     *suspect.Registry
+	// trials are the trials of suspected parts that this instance grants.
+	trials *suspicion.Trials
+	// verdictsStoredAt is when this instance last tried to store verdicts. Only housekeeping uses
+	// it.
+	verdictsStoredAt time.Duration
 }
 
 // New returns an instance that has not been started. It fails if the peer address is invalid or in
@@ -154,6 +162,7 @@
 		Config: k, Platform: p, timer: t, log: log.Named("entry"), run: time.Duration(t.Now().UnixNano()).Milliseconds(), startedAt: t.Boot(),
 		pool: pool.New(), feeds: map[string]*feed.Feed{}, ctx: c, conn: conn,
 		wakeups: map[string]chan struct{}{}, freshness: map[string]*tableFreshness{}, listings: mirror.NewChangeTracker[listing](),
+		trials:     suspicion.NewTrials(),
 		ownerCalls: newOwnerCalls(c), retries: retry.New(), usageReports: usage.New(),
 		quota: newQuota(k.PlanWindow), versions: versions{known: map[pool.Adapter]versionState{}}, members: members{known: map[string]member{}},
 	}
@@ -161,6 +170,11 @@
 	e.mesh = mesh.New(k.PeerAddress, mesh.Clock{Tick: recorder.Tick, Observe: recorder.Observe})
 	e.gossip = gossip.New(k.Name, conn, t, log)
 	e.gossip.Compose, e.gossip.OnHeartbeat, e.gossip.Addresses, e.gossip.Zone, e.gossip.OnReport = e.newHeartbeat, e.onHeartbeat, e.addresses, k.Zone, e.onReport
+	e.suspects = suspect.New(suspectAfter, suspect.Services{
+		Timer: t, Log: log, Recorder: recorder,
+		Announce: func(_ context.Context, data []byte) { e.gossip.SendSuspicions(data) },
+	})
+	e.suspects.Metrics = suspect.NewMetrics(r, e.suspects.Verdicts)
 	e.versionGrace.Store(int64(k.VersionGrace))
 	e.newFeeds(log)
 	e.registerFreshness(r)
@@ -201,7 +215,7 @@
 		Charge: func(w *route.Workspace, n float64) error { return e.quota.charge(w, n, e.timer.Boot()) },
 		Refund: func(w *route.Workspace, n float64) { e.quota.refund(w, n, e.timer.Boot()) },
 		Load:   e.load, Reserve: e.reserve, HasOwner: e.hasOwner, ReportMissing: e.reportMissing, Send: e.Send, Rand: rand.Float64,
-		HasEnded:  e.HasEnded,
+		HasEnded: e.HasEnded, Suspects: e.suspects, TakeTrial: e.takeTrial, EndTrial: e.endTrial,
 		StopsAt:   func() time.Duration { return time.Duration(e.stopsAt.Load()) },
 		PeerCount: func() int { return int(e.peers.Load()) },
 		DataAges:  e.rowAges,
@@ -249,7 +263,7 @@
 
 // Ready reports whether the instance can serve callers.
 func (e *Entry) Ready() bool {
-	return !e.leaving.Load() && e.table.Load() != nil && e.feeds[e.Tables.Upstreams].Mirror.Loaded()
+	return !e.leaving.Load() && e.table.Load() != nil && e.feeds[e.Tables.Upstreams].Mirror.Loaded() && e.feeds[ownership.FleetTable].Mirror.Loaded()
 }
 
 // Leaving reports whether Leave was called.
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -99,6 +99,7 @@
 // onFleetRows applies new rows of members and claims.
 func (e *Entry) onFleetRows(rows []mirror.Row, _ time.Duration) {
 	e.ownership.ApplyRows(rows)
+	e.applyVerdictRows(rows)
 	log := e.rowLogger("fleet", rows)
 	for _, r := range rows {
 		name, ok := strings.CutPrefix(r.Key, memberPrefix)
@@ -180,7 +181,7 @@
 		b.Versions[pool.NewTag(t)] = e.tableVersion(t)
 	}
 	b.Versions[pool.NewTag(e.Tables.Upstreams)], b.ListingsDigest = e.listings.Summary()
-	b.Limits = e.pool.Limits(now)
+	b.Limits, b.Suspicions = e.pool.Limits(now), e.suspects.Payload()
 	for id, k := range e.ownedEngines(now) {
 		e.pool.ClearRemoteUsage(id)
 		loaded, warm := e.pool.LoadedAdapters(id)
@@ -274,6 +275,7 @@
 			e.removeMember(c, p.Name, m)
 		}
 	}
+	e.storeVerdicts(c, now)
 	e.chooseReader(now)
 	e.logMissingRows(now)
 }
@@ -291,6 +293,7 @@
 func (e *Entry) registerHandlers() {
 	e.registerOrderHandlers()
 	e.registerPermitHandler()
+	e.registerTrialHandler()
 	mesh.Handle(e.mesh, rowsMethod, func(_ context.Context, _ string, q *rowsRequest) (*rowsReply, error) {
 		return e.rowsAfter(q.Table, mirror.Version(q.After)), nil
 	})
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -43,7 +43,7 @@
 	Fleet       *fleet.Fleet
 	Quota       *quota.Quota
 	Placement   *placement.Placement
-	Suspects    *suspect.Registry
+	Suspects    *suspect.FleetRegistry
 	Idempotency *idempotency.Executor
 	Relay       *relay.Relay
 	Server      *caller.Server
@@ -122,7 +122,7 @@
 	}, placement.Services{Timer: i.Timer, Fleet: i.Fleet, Mesh: i.Mesh, Engines: engine.New(), Recorder: i.Recorder, Log: i.log})
 	i.Fleet.GossipPayload = i.Placement.ReportViews
 	i.Fleet.OnGossip = i.Placement.ApplyViews
-	i.Suspects = suspect.New(suspect.Services{Timer: i.Timer, Fleet: i.Fleet, Mesh: i.Mesh, Table: i.Table, Recorder: i.Recorder, Log: i.log})
+	i.Suspects = suspect.NewFleetRegistry(suspect.FleetServices{Timer: i.Timer, Fleet: i.Fleet, Mesh: i.Mesh, Table: i.Table, Recorder: i.Recorder, Log: i.log})
 	i.Idempotency = idempotency.New(i.life, idempotency.Services{
 		Timer: i.Timer, Fleet: i.Fleet, Mesh: i.Mesh, Table: i.Table, Recorder: i.Recorder, Log: i.log,
 		Instance: s.Instance.Name, MeshAddress: s.Instance.MeshAddress,
--- a/protocol/caller/generate.go
+++ b/protocol/caller/generate.go
@@ -9,11 +9,11 @@
 	"time"
 
 	"gentiangauge.example/gentiangauge/coordination/placement"
-	"gentiangauge.example/gentiangauge/coordination/suspect"
 	"gentiangauge.example/gentiangauge/refusal"
 	"gentiangauge.example/gentiangauge/state/adapter"
 	"gentiangauge.example/gentiangauge/state/bucket"
 	"gentiangauge.example/gentiangauge/state/lists"
+	"gentiangauge.example/gentiangauge/state/suspicion"
 	"gentiangauge.example/gentiangauge/state/timeline"
 	"gentiangauge.example/gentiangauge/transport/relay"
 )
@@ -21,10 +21,11 @@
 // generation is the state of one request for a model.
 type generation struct {
 	*call
-	model       *modelRequest
-	adapter     lists.Adapter
-	body        []byte
-	fingerprint suspect.Fingerprint
+	model   *modelRequest
+	adapter lists.Adapter
+	body    []byte
+	// part identifies the whole request.
+	part suspicion.Part
 	// exclusive requests an engine on which no other request runs, because the request is
 	// suspected of crashing engines.
 	exclusive bool
@@ -112,7 +113,7 @@
 	if g.body, err = q.encode(g.adapter); err != nil {
 		return nil, invalidBody("the body cannot be encoded")
 	}
-	g.fingerprint = fingerprint(i.workspace, g.adapter, g.body)
+	g.part = requestPart(i.workspace, g.adapter, g.body)
 	return g, s.checkSuspect(g)
 }
 
@@ -135,12 +136,12 @@
 // checkSuspect refuses a request that is blocked for crashing engines. One that is only
 // suspected runs on an engine of its own.
 func (s *Server) checkSuspect(g *generation) error {
-	switch s.Suspects.Status(g.fingerprint) {
-	case suspect.Blocked:
+	switch status, _ := s.Suspects.Status([]suspicion.Part{g.part}); status {
+	case suspicion.Blocked:
 		return refusal.New(refusal.RequestBlocked, http.StatusUnprocessableEntity, "this request crashed the engines that ran it")
-	case suspect.Suspected:
+	case suspicion.Suspected:
 		g.exclusive = true
-	case suspect.Clean:
+	case suspicion.Clean:
 	}
 	return nil
 }
@@ -263,7 +264,7 @@
 		return err
 	}
 	if g.exclusive {
-		s.Suspects.Clear(c, g.fingerprint)
+		s.Suspects.RecordSound(c, []suspicion.Part{g.part})
 	}
 	s.Metrics.countAnswer("model")
 	s.recordEvent(timeline.Answered, g.call, fmt.Sprintf("%d tokens", g.usedTokens))
@@ -311,8 +312,9 @@
 	r.Status = http.StatusBadGateway
 	f := &failure{refusal: r, sent: true, retryable: true}
 	if s.engineCrashed(c, u) {
-		status := s.Suspects.RecordCrash(c, g.fingerprint, suspect.Crash{Upstream: u.Upstream, Incarnation: u.Incarnation})
-		if status == suspect.Blocked {
+		x := suspicion.Crash{Upstream: string(u.Upstream), StartedAt: int64(u.Incarnation)}
+		status := s.Suspects.RecordCrash(c, x, []suspicion.Part{g.part}, g.exclusive)
+		if status == suspicion.Blocked {
 			f.refusal = refusal.New(refusal.RequestBlocked, http.StatusUnprocessableEntity, "this request crashed the engines that ran it").WithRun(refusal.Ran)
 			f.retryable = false
 		}
--- a/protocol/caller/model.go
+++ b/protocol/caller/model.go
@@ -2,14 +2,14 @@
 
 import (
 	"crypto/sha256"
-	"encoding/hex"
+	"encoding/binary"
 	"encoding/json"
 	"net/http"
 
-	"gentiangauge.example/gentiangauge/coordination/suspect"
 	"gentiangauge.example/gentiangauge/refusal"
 	"gentiangauge.example/gentiangauge/settings"
 	"gentiangauge.example/gentiangauge/state/lists"
+	"gentiangauge.example/gentiangauge/state/suspicion"
 )
 
 // modelRequest is the decoded JSON body of a request for a model.
@@ -113,12 +113,12 @@
 	return json.Marshal(q.fields)
 }
 
-// fingerprint returns a hash of the workspace, the adapter and the body. It is the same on
-// every instance that receives the request.
-func fingerprint(w lists.WorkspaceID, a lists.Adapter, body []byte) suspect.Fingerprint {
+// requestPart returns the part that stands for the whole request: the workspace, the adapter and
+// the body. It is the same on every instance that receives the request.
+func requestPart(w lists.WorkspaceID, a lists.Adapter, body []byte) suspicion.Part {
 	h := sha256.New()
 	for _, part := range [][]byte{[]byte(w), {0}, []byte(a), {0}, body} {
 		_, _ = h.Write(part)
 	}
-	return suspect.Fingerprint(hex.EncodeToString(h.Sum(nil)))
+	return suspicion.Part(binary.BigEndian.Uint64(h.Sum(nil)))
 }
--- a/protocol/caller/server.go
+++ b/protocol/caller/server.go
@@ -39,7 +39,7 @@
 	Catalog     *catalog.Catalog
 	Quota       *quota.Quota
 	Placement   *placement.Placement
-	Suspects    *suspect.Registry
+	Suspects    *suspect.FleetRegistry
 	Idempotency *idempotency.Executor
 	Relay       *relay.Relay
 	Engines     *engine.Client
--- a/protocol/dispatch/attempt.go
+++ b/protocol/dispatch/attempt.go
@@ -51,18 +51,27 @@
 			d.countEnd(j, h.ID)
 			return d.finalError(c, j, last, err)
 		}
+		if err = d.awaitTrial(c, j); err != nil {
+			d.countEnd(j, h.ID)
+			return d.finalError(c, j, last, err)
+		}
 		if j.permitted, err = d.Admission.Check(c, h.Upstream, j.ID); err != nil {
 			d.countEnd(j, h.ID)
+			d.endTrial(j)
 			j.avoid[h.ID] = true
 			last = err
 			continue
 		}
 		err = d.send(c, w, j)
 		d.countEnd(j, h.ID)
+		d.endTrial(j)
 		if err == nil || errors.Is(err, ErrTruncated) {
 			return err
 		}
 		last = err
+		if blocked := d.checkBlocked(j); blocked != nil {
+			return d.finalError(c, j, last, blocked)
+		}
 		if !d.mayRetry(c, j, err) {
 			return d.finalError(c, j, last, err)
 		}
@@ -103,8 +112,12 @@
 		return ErrTruncated
 	}
 	var r *refusal.Refusal
-	if j.runs == 0 && errors.As(err, &r) {
+	switch {
+	case !errors.As(err, &r):
+	case j.runs == 0:
 		return r
+	case r.Code == refusal.RequestBlocked:
+		return r.WithRun(refusal.Ran)
 	}
 	if j.runs == 0 && d.Timer.Boot() < j.deadline && c.Err() == nil {
 		return refusal.Later(refusal.Overloaded, overloadRetryAfter, "no upstream took the request: %v", last)
@@ -128,7 +141,7 @@
 	stopTimer := d.startSilenceTimer(x, j, cancel)
 	sent := d.Timer.Boot()
 	d.recordLimitedSend(j)
-	j.sentAs, j.events = j.way(), 0
+	j.sentAs, j.events, j.sound = j.way(), 0, false
 	j.sends++
 	q := UpstreamRequest{
 		Request: j.Request, Upstream: j.choice.Upstream, Version: j.choice.Version, Remaining: j.deadline - sent,
@@ -160,6 +173,7 @@
 	})
 	d.logResponse(j, a, sent, err)
 	if err == nil {
+		d.recordSound(c, j)
 		d.Pool.RecordOutcome(id, pool.Served, d.Timer.Boot())
 	}
 	return err
--- a/protocol/dispatch/crash.go
+++ b/protocol/dispatch/crash.go
@@ -2,16 +2,103 @@
 
 import (
 	"context"
+	"net/http"
+	"time"
 
 	"go.uber.org/zap"
+
+	"gentiangauge.example/gentiangauge/refusal"
+	"gentiangauge.example/gentiangauge/state/pool"
+	"gentiangauge.example/gentiangauge/state/suspicion"
+)
+
+const (
+	// soundEvents is the number of events after which an upstream has survived a request: the
+	// first one may be the last that it sends.
+	soundEvents = 2
+	// maxTrialWait is how long a suspected request waits for the trial of its part, trialPoll the
+	// time between two attempts to get it, and trialRetryAfter the Retry-After of a request that
+	// does not, within which most trials end.
+	maxTrialWait    = 100 * time.Millisecond
+	trialPoll       = 25 * time.Millisecond
+	trialRetryAfter = 400 * time.Millisecond
 )
 
-// recordBreak records that the connection of a request broke after the request was sent, with
-// what tells an upstream that has ended from a connection that has failed.
+// requestPart returns the part that stands for a whole request. The request ID is left out: the
+// same request comes again under another one.
+func requestPart(q *Request) suspicion.Part {
+	return suspicion.NewPart("request", q.Method, q.Host, q.Target, q.Key, string(q.Body))
+}
+
+// checkBlocked refuses a request that crashes the upstreams that run it. The refusal is final:
+// the request must not come back.
+func (d *Dispatcher) checkBlocked(j *job) error {
+	if s, _ := d.Suspects.Status(j.parts); s != suspicion.Blocked {
+		return nil
+	}
+	return blockedRefusal()
+}
+
+func blockedRefusal() *refusal.Refusal {
+	return refusal.New(refusal.RequestBlocked, http.StatusUnprocessableEntity, "requests like this one crash the upstreams that run them")
+}
+
+// awaitTrial lets a request pass unless it is blocked. If it is suspected, it takes the trial of
+// its part, which only one request of the fleet has at a time, or refuses the request.
+func (d *Dispatcher) awaitTrial(c context.Context, j *job) error {
+	since := d.Timer.Boot()
+	for {
+		switch s, p := d.Suspects.Status(j.parts); {
+		case s == suspicion.Clean:
+			return nil
+		case s == suspicion.Blocked:
+			return blockedRefusal()
+		case d.TakeTrial(c, p):
+			j.trial = p
+			d.Log.Info("sent on trial", zap.String("request", j.ID), zap.String("upstream", string(j.choice.ID)), zap.Stringer("part", p))
+			return nil
+		}
+		if c.Err() != nil || d.Timer.Boot()-since >= maxTrialWait {
+			return refusal.Later(refusal.Overloaded, trialRetryAfter, "a part of the request may crash upstreams and is being tried by another request")
+		}
+		// The loop checks whether c has ended.
+		_ = d.Timer.Wait(c, trialPoll)
+	}
+}
+
+// endTrial gives the trial of the last send back.
+func (d *Dispatcher) endTrial(j *job) {
+	if j.trial != 0 {
+		d.EndTrial(j.trial)
+		j.trial = 0
+	}
+}
+
+// recordSound records once that the upstream of the present send has survived the request.
+func (d *Dispatcher) recordSound(c context.Context, j *job) {
+	if !j.sound {
+		j.sound = true
+		d.Suspects.RecordSound(c, j.parts)
+	}
+}
+
+// recordBreak handles a connection that broke after the request was sent. If that is because the
+// upstream crashed, and the upstream has not survived the request before, its parts may be the
+// cause. Upstreams that stop as planned end connections too.
 func (d *Dispatcher) recordBreak(c context.Context, j *job) {
 	u := j.choice.Upstream
-	ended := d.HasEnded != nil && d.HasEnded(c, u.Address)
+	v := d.Pool.Admits(u, d.Timer.Boot())
+	ended := v == pool.Replaced || d.HasEnded(c, u.Address)
+	planned := v == pool.Leaving || v == pool.Removed
 	d.Metrics.countBreak(ended)
 	d.Log.Info("connection broke during request", zap.String("request", j.ID), zap.String("upstream", string(u.ID)), zap.Int64("born", u.StartedAt),
-		zap.Bool("ended", ended), zap.Bool("leaving", u.Draining), zap.String("way", j.sentAs), zap.Int("events", j.events), zap.Stringers("parts", j.Parts))
+		zap.Bool("ended", ended), zap.Bool("planned", planned), zap.String("way", j.sentAs), zap.Int("events", j.events), zap.Bool("trial", j.trial != 0), zap.Stringers("parts", j.parts))
+	if !ended || planned {
+		return
+	}
+	parts := j.parts
+	if j.sound {
+		parts = nil
+	}
+	d.Suspects.RecordCrash(c, suspicion.Crash{Upstream: string(u.ID), StartedAt: u.StartedAt}, parts, j.trial != 0)
 }
--- a/protocol/dispatch/dispatch.go
+++ b/protocol/dispatch/dispatch.go
@@ -19,6 +19,7 @@
 	"go.uber.org/zap"
 
 	"gentiangauge.example/gentiangauge/coordination/admission"
+	"gentiangauge.example/gentiangauge/coordination/suspect"
 	"gentiangauge.example/gentiangauge/refusal"
 	"gentiangauge.example/gentiangauge/state/pool"
 	"gentiangauge.example/gentiangauge/state/retry"
@@ -123,6 +124,12 @@
 	// Send sends a request to an upstream. It fails with relay.ErrNotSent or
 	// relay.ErrConnectionBroken.
 	Send func(c context.Context, s UpstreamRequest) (*Response, error)
+	// Suspects holds the parts of requests that crash upstreams.
+	Suspects *suspect.Registry
+	// TakeTrial requests the right to send one request with a suspected part. EndTrial gives it
+	// back.
+	TakeTrial func(c context.Context, p suspicion.Part) bool
+	EndTrial  func(p suspicion.Part)
 	// HasEnded reports whether the process at an address has ended.
 	HasEnded func(c context.Context, address string) bool
 	// StopsAt returns the instant at which the instance stops, or 0 if it is not
@@ -205,6 +212,12 @@
 	choice pool.Choice
 	// permitted is set if the present send has taken a permit for a limited upstream.
 	permitted bool
+	// parts are the parts that may crash an upstream: those of the prompt and the request itself.
+	parts []suspicion.Part
+	// trial is the suspected part for whose trial the present send was granted, or 0.
+	trial suspicion.Part
+	// sound is set once the present send has shown that its parts do not crash the upstream.
+	sound bool
 	// usage is the load that the request adds to the chosen upstream in the pool.
 	usage pool.Usage
 }
--- a/protocol/dispatch/dispatch_test.go
+++ b/protocol/dispatch/dispatch_test.go
@@ -16,11 +16,13 @@
 
 	"gentiangauge.example/gentiangauge/coordination/admission"
 	"gentiangauge.example/gentiangauge/coordination/orders"
+	"gentiangauge.example/gentiangauge/coordination/suspect"
 	"gentiangauge.example/gentiangauge/protocol/dispatch"
 	"gentiangauge.example/gentiangauge/refusal"
 	"gentiangauge.example/gentiangauge/state/pool"
 	"gentiangauge.example/gentiangauge/state/retry"
 	"gentiangauge.example/gentiangauge/state/route"
+	"gentiangauge.example/gentiangauge/state/suspicion"
 	"gentiangauge.example/gentiangauge/timer"
 	"gentiangauge.example/gentiangauge/transport/relay"
 )
@@ -47,6 +49,8 @@
 	configuration route.Config
 	// table is the configuration in force.
 	table *route.Table
+	// trial is whether trials are granted, ended whether upstreams refuse connections.
+	trial, ended bool
 }
 
 func newHarness(upstreams int) *harness {
@@ -88,7 +92,10 @@
 		},
 		ReportMissing: func(pool.ID, pool.Adapter) {}, Send: b.send, PeerCount: func() int { return 0 }, DataAges: func() (time.Duration, time.Duration) { return 0, 0 }, StopsAt: func() time.Duration { return b.stopsAt }, Rand: func() float64 { return 0.5 },
 		Budget: retry.New(), Admission: b.admission,
-		Metrics: dispatch.NewMetrics(prometheus.NewRegistry()),
+		Suspects:  suspect.New(2, suspect.Services{Timer: b.timer, Log: zap.NewNop(), Announce: func(context.Context, []byte) {}}),
+		TakeTrial: func(context.Context, suspicion.Part) bool { return b.trial }, EndTrial: func(suspicion.Part) {},
+		HasEnded: func(context.Context, string) bool { return b.ended },
+		Metrics:  dispatch.NewMetrics(prometheus.NewRegistry()),
 	})
 	return b
 }
--- a/protocol/dispatch/forward.go
+++ b/protocol/dispatch/forward.go
@@ -89,7 +89,9 @@
 					return d.handleTruncation(c, j, err)
 				}
 			}
-			j.events += countEvents(pending[:complete])
+			if j.events += countEvents(pending[:complete]); j.events >= soundEvents {
+				d.recordSound(c, j)
+			}
 			if x := d.forwardEvents(w, flush, j, a, pending[:complete]); x != nil {
 				return x
 			}
--- a/state/mirror/mirror.go
+++ b/state/mirror/mirror.go
@@ -100,6 +100,14 @@
 	return m.newest
 }
 
+// Get returns a row, which may be a removed one, and false if there never was one.
+func (m *Mirror) Get(key string) (Row, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r, ok := m.rows[key]
+	return r, ok
+}
+
 // Since returns the rows that changed after a version, including removed ones.
 func (m *Mirror) Since(v Version) []Row {
 	m.mu.Lock()
--- /dev/null
+++ b/state/suspicion/ledger.go
@@ -0,0 +1,325 @@
+package suspicion
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// evidenceRetention is how long a crash counts. maxCrashes bounds their number and
+	// maxCrashParts the parts of each: the requests that fit on one upstream.
+	evidenceRetention = 10 * time.Minute
+	maxCrashes        = 256
+	maxCrashParts     = 1024
+	// verdictRetention is how long a verdict holds after the last request that it blocked.
+	verdictRetention = time.Hour
+	maxVerdicts      = 64
+	// soundRetention is how long a cleared part is remembered, for reports of an earlier crash
+	// that arrive late.
+	soundRetention = 30 * time.Second
+)
+
+// Crash identifies a process of an upstream that ended while requests ran on it.
+type Crash struct {
+	Upstream string
+	// StartedAt distinguishes the processes of the upstream.
+	StartedAt int64
+}
+
+// Evidence is a crash with the parts of requests that had no answer from the upstream yet.
+type Evidence struct {
+	Crash
+	Parts []Part
+}
+
+// VerdictID identifies a verdict by the crash that led to it and by one of its parts.
+type VerdictID struct {
+	Crash
+	Lead Part
+}
+
+// Verdict blocks the requests that contain all of its parts. It has several parts while the
+// crashes do not tell which of them is the cause. Parts are only ever removed, so that instances
+// can merge their copies in any order; a verdict without parts has been withdrawn.
+type Verdict struct {
+	VerdictID
+	Parts []Part
+	// Quiet is the time since a request was last blocked by the verdict.
+	Quiet time.Duration
+}
+
+// crash is a known crash. A part is mapped to false once it has been cleared.
+type crash struct {
+	parts   map[Part]bool
+	knownAt time.Duration
+}
+
+type verdict struct {
+	parts     []Part
+	lastMatch time.Duration
+}
+
+// Ledger holds the evidence and the verdicts that an instance knows. It is safe for concurrent
+// use. All instants are those of timer.Service.Boot.
+//
+// Load pattern: a few requests in a hundred share a part that crashes each upstream as it begins
+// to answer, while the sound requests beside them share their other parts.
+type Ledger struct {
+	suspectAfter int
+	mu           sync.Mutex
+	crashes      map[Crash]*crash
+	verdicts     map[VerdictID]*verdict
+	soundAt      map[Part]time.Duration
+	// counts is the number of crashes that count for each part, or nil after a change.
+	counts map[Part]int
+}
+
+// NewLedger returns an empty ledger, in which a part is suspected after a number of crashes.
+func NewLedger(suspectAfter int) *Ledger {
+	return &Ledger{suspectAfter: suspectAfter, crashes: map[Crash]*crash{}, verdicts: map[VerdictID]*verdict{}, soundAt: map[Part]time.Duration{}}
+}
+
+// AddCrash records the parts that one instance had on an upstream as it crashed. It reports
+// whether that is new.
+func (l *Ledger) AddCrash(e Evidence, now time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	x, ok := l.crashes[e.Crash]
+	if !ok {
+		l.makeRoom()
+		x = &crash{parts: map[Part]bool{}, knownAt: now}
+		l.crashes[e.Crash] = x
+	}
+	changed := !ok
+	for _, p := range e.Parts {
+		if _, known := x.parts[p]; known || len(x.parts) >= maxCrashParts {
+			continue
+		}
+		at, sound := l.soundAt[p]
+		x.parts[p] = !sound || at < x.knownAt
+		changed = true
+	}
+	if changed {
+		l.counts = nil
+	}
+	return changed
+}
+
+// makeRoom removes the oldest crash if there are maxCrashes.
+func (l *Ledger) makeRoom() {
+	if len(l.crashes) < maxCrashes {
+		return
+	}
+	var oldest Crash
+	at := time.Duration(-1)
+	for k, x := range l.crashes {
+		if at < 0 || x.knownAt < at {
+			oldest, at = k, x.knownAt
+		}
+	}
+	delete(l.crashes, oldest)
+}
+
+// Status returns the status of a request with some parts and, for a suspected one, the part with
+// the most crashes. A blocked request extends the verdict.
+func (l *Ledger) Status(parts []Part, now time.Duration) (Status, Part) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.crashes)+len(l.verdicts) == 0 {
+		return Clean, 0
+	}
+	blocked := false
+	for _, v := range l.verdicts {
+		if v.blocks(func(p Part) bool { return slices.Contains(parts, p) }) {
+			v.lastMatch, blocked = now, true
+		}
+	}
+	if blocked {
+		return Blocked, 0
+	}
+	if worst, n := l.worst(parts); n >= l.suspectAfter {
+		return Suspected, worst
+	}
+	return Clean, 0
+}
+
+// blocks reports whether a verdict has parts and contains returns true for all of them.
+func (v *verdict) blocks(contains func(p Part) bool) bool {
+	return len(v.parts) > 0 && !slices.ContainsFunc(v.parts, func(p Part) bool { return !contains(p) })
+}
+
+// worst returns the part with the most crashes, the higher one of two equals, and their number.
+func (l *Ledger) worst(parts []Part) (worst Part, most int) {
+	l.count()
+	for _, p := range parts {
+		if n := l.counts[p]; n > most || n == most && n > 0 && p > worst {
+			worst, most = p, n
+		}
+	}
+	return worst, most
+}
+
+// count counts the crashes of each part. A crash that a verdict explains does not count for the
+// parts of other requests. It goes on counting for the parts of the verdict, which may turn out
+// to be too many.
+func (l *Ledger) count() {
+	if l.counts != nil {
+		return
+	}
+	l.counts = map[Part]int{}
+	for _, x := range l.crashes {
+		var explained []Part
+		for _, v := range l.verdicts {
+			if v.blocks(func(p Part) bool { return x.parts[p] }) {
+				explained = append(explained, v.parts...)
+			}
+		}
+		for p, suspect := range x.parts {
+			if suspect && (len(explained) == 0 || slices.Contains(explained, p)) {
+				l.counts[p]++
+			}
+		}
+	}
+}
+
+// Clear records that an upstream answered a request with some parts and did not crash. It returns
+// the parts that were on an upstream as it crashed before, and whether that made any of them
+// suspected. All verdicts lose these parts.
+func (l *Ledger) Clear(parts []Part, now time.Duration) (cleared []Part, suspected bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.crashes)+len(l.verdicts) == 0 {
+		return nil, false
+	}
+	if _, n := l.worst(parts); n >= l.suspectAfter {
+		suspected = true
+	}
+	for _, p := range parts {
+		if l.clear(p) {
+			cleared = append(cleared, p)
+			l.soundAt[p] = now
+		}
+	}
+	if cleared != nil {
+		l.counts = nil
+	}
+	return cleared, suspected
+}
+
+func (l *Ledger) clear(p Part) bool {
+	found := false
+	for _, x := range l.crashes {
+		if x.parts[p] {
+			x.parts[p], found = false, true
+		}
+	}
+	for _, v := range l.verdicts {
+		if i := slices.Index(v.parts, p); i >= 0 {
+			v.parts, found = slices.Delete(slices.Clone(v.parts), i, i+1), true
+		}
+	}
+	return found
+}
+
+// Convict returns the verdict on a request that was sent although it was suspected, after the
+// upstream crashed. The cause is among the parts of the request that have the most crashes. It
+// returns false if a part of other requests on that upstream has as many, because the request
+// may then be sound.
+func (l *Ledger) Convict(x Crash, parts []Part, now time.Duration) (Verdict, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	k, ok := l.crashes[x]
+	worst, most := l.worst(parts)
+	if !ok || !k.parts[worst] || most <= l.suspectAfter {
+		return Verdict{}, false
+	}
+	for p, suspect := range k.parts {
+		if suspect && !slices.Contains(parts, p) && l.counts[p] >= most {
+			return Verdict{}, false
+		}
+	}
+	v := Verdict{VerdictID: VerdictID{Crash: x, Lead: worst}}
+	for _, p := range parts {
+		if l.counts[p] == most {
+			v.Parts = append(v.Parts, p)
+		}
+	}
+	l.addVerdict(v, now)
+	return v, true
+}
+
+func (l *Ledger) addVerdict(v Verdict, now time.Duration) {
+	if len(l.verdicts) >= maxVerdicts {
+		var quietest VerdictID
+		at := time.Duration(-1)
+		for k, x := range l.verdicts {
+			if at < 0 || x.lastMatch < at {
+				quietest, at = k, x.lastMatch
+			}
+		}
+		delete(l.verdicts, quietest)
+	}
+	l.verdicts[v.VerdictID] = &verdict{parts: slices.Clone(v.Parts), lastMatch: now - v.Quiet}
+	l.counts = nil
+}
+
+// Merge applies a verdict that another instance knows, and reports whether it changed anything.
+func (l *Ledger) Merge(v Verdict, now time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	x, ok := l.verdicts[v.VerdictID]
+	if !ok {
+		if v.Quiet > verdictRetention {
+			return false
+		}
+		l.addVerdict(v, now)
+		return true
+	}
+	x.lastMatch = max(x.lastMatch, now-v.Quiet)
+	before := len(x.parts)
+	x.parts = slices.DeleteFunc(slices.Clone(x.parts), func(p Part) bool { return !slices.Contains(v.Parts, p) })
+	if len(x.parts) == before {
+		return false
+	}
+	l.counts = nil
+	return true
+}
+
+// Verdicts returns all verdicts, withdrawn ones too.
+func (l *Ledger) Verdicts(now time.Duration) []Verdict {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []Verdict
+	for k, v := range l.verdicts {
+		out = append(out, Verdict{VerdictID: k, Parts: v.parts, Quiet: now - v.lastMatch})
+	}
+	return out
+}
+
+// Expire removes old evidence, and returns the verdicts that no request has matched for
+// verdictRetention, which it removes too.
+func (l *Ledger) Expire(now time.Duration) []VerdictID {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for k, x := range l.crashes {
+		if now-x.knownAt > evidenceRetention {
+			delete(l.crashes, k)
+			l.counts = nil
+		}
+	}
+	for p, at := range l.soundAt {
+		if now-at > soundRetention {
+			delete(l.soundAt, p)
+		}
+	}
+	var out []VerdictID
+	for k, v := range l.verdicts {
+		if now-v.lastMatch > verdictRetention {
+			delete(l.verdicts, k)
+			out = append(out, k)
+			l.counts = nil
+		}
+	}
+	return out
+}
