--- a/protocol/dispatch/dispatch_test.go
+++ b/protocol/dispatch/dispatch_test.go
@@ -51,6 +51,9 @@
 	table *route.Table
 	// trial is whether trials are granted, ended whether upstreams refuse connections.
 	trial, ended bool
+	suspects     *suspect.Registry
+	// parts are the parts of the prompts that serve sends.
+	parts []suspicion.Part
 }
 
 func newHarness(upstreams int) *harness {
@@ -76,6 +79,7 @@
 	}
 	b.table = route.New(b.configuration)
 	b.admission = admission.New(b.pool, b.timer, zap.NewNop())
+	b.suspects = suspect.New(2, suspect.Services{Timer: b.timer, Log: zap.NewNop(), Announce: func(context.Context, []byte) {}})
 	b.d = dispatch.New(dispatch.Settings{
 		Capacity:   pool.Capacity{TokensPerSecond: 25_800, StepTime: 8 * time.Millisecond, LoadTime: 255 * time.Millisecond, ReloadTime: 30 * time.Millisecond},
 		RetryRatio: 0.2, RetryBurst: 100,
@@ -92,7 +96,7 @@
 		},
 		ReportMissing: func(pool.ID, pool.Adapter) {}, Send: b.send, PeerCount: func() int { return 0 }, DataAges: func() (time.Duration, time.Duration) { return 0, 0 }, StopsAt: func() time.Duration { return b.stopsAt }, Rand: func() float64 { return 0.5 },
 		Budget: retry.New(), Admission: b.admission,
-		Suspects:  suspect.New(2, suspect.Services{Timer: b.timer, Log: zap.NewNop(), Announce: func(context.Context, []byte) {}}),
+		Suspects:  b.suspects,
 		TakeTrial: func(context.Context, suspicion.Part) bool { return b.trial }, EndTrial: func(suspicion.Part) {},
 		HasEnded: func(context.Context, string) bool { return b.ended },
 		Metrics:  dispatch.NewMetrics(prometheus.NewRegistry()),
@@ -110,7 +114,7 @@
 	w := httptest.NewRecorder()
 	q := &dispatch.Request{
 		ID: "r1", Method: http.MethodPost, Host: "h", Path: path, Target: path, Header: http.Header{}, Key: "key",
-		Arrived: b.timer.Boot(), Timeout: callerTimeout,
+		Arrived: b.timer.Boot(), Timeout: callerTimeout, Parts: b.parts,
 	}
 	if strings.HasPrefix(path, "/chat/") || strings.HasPrefix(path, "/once/") {
 		q.Adapter, q.PromptTokens, q.OutputTokens = adapter, 1000, 24
--- a/state/suspicion/ledger.go
+++ b/state/suspicion/ledger.go
@@ -53,6 +53,13 @@
 type crash struct {
 	parts   map[Part]bool
 	knownAt time.Duration
+	// explained are the parts of the verdicts that explain the crash, as of the last count.
+	explained []Part
+}
+
+// counts reports whether the crash counts for a part that has not been cleared.
+func (x *crash) counts(p Part) bool {
+	return len(x.explained) == 0 || slices.Contains(x.explained, p)
 }
 
 type verdict struct {
@@ -71,13 +78,15 @@
 	crashes      map[Crash]*crash
 	verdicts     map[VerdictID]*verdict
 	soundAt      map[Part]time.Duration
-	// counts is the number of crashes that count for each part, or nil after a change.
+	// standing is the number of crashes in which each part has not been cleared.
+	standing map[Part]int
+	// counts is the number of those that count, or nil after a change that concerns verdicts.
 	counts map[Part]int
 }
 
 // NewLedger returns an empty ledger, in which a part is suspected after a number of crashes.
 func NewLedger(suspectAfter int) *Ledger {
-	return &Ledger{suspectAfter: suspectAfter, crashes: map[Crash]*crash{}, verdicts: map[VerdictID]*verdict{}, soundAt: map[Part]time.Duration{}}
+	return &Ledger{suspectAfter: suspectAfter, crashes: map[Crash]*crash{}, verdicts: map[VerdictID]*verdict{}, soundAt: map[Part]time.Duration{}, standing: map[Part]int{}}
 }
 
 // AddCrash records the parts that one instance had on an upstream as it crashed. It reports
@@ -98,12 +107,45 @@
 		}
 		at, sound := l.soundAt[p]
 		x.parts[p] = !sound || at < x.knownAt
+		if x.parts[p] {
+			l.accuse(x, p)
+		}
 		changed = true
 	}
-	if changed {
+	return changed
+}
+
+// accuse counts a crash for a part.
+func (l *Ledger) accuse(x *crash, p Part) {
+	l.standing[p]++
+	switch {
+	case l.inVerdict(p):
+		l.counts = nil
+	case l.counts != nil && x.counts(p):
+		l.counts[p]++
+	}
+}
+
+// acquit stops counting a crash for a part.
+func (l *Ledger) acquit(x *crash, p Part) {
+	if l.standing[p]--; l.standing[p] == 0 {
+		delete(l.standing, p)
+	}
+	switch {
+	case l.inVerdict(p):
 		l.counts = nil
+	case l.counts != nil && x.counts(p):
+		l.counts[p]--
 	}
-	return changed
+}
+
+func (l *Ledger) inVerdict(p Part) bool {
+	for _, v := range l.verdicts {
+		if slices.Contains(v.parts, p) {
+			return true
+		}
+	}
+	return false
 }
 
 // makeRoom removes the oldest crash if there are maxCrashes.
@@ -118,7 +160,17 @@
 			oldest, at = k, x.knownAt
 		}
 	}
-	delete(l.crashes, oldest)
+	l.removeCrash(oldest)
+}
+
+func (l *Ledger) removeCrash(k Crash) {
+	x := l.crashes[k]
+	for p, suspect := range x.parts {
+		if suspect {
+			l.acquit(x, p)
+		}
+	}
+	delete(l.crashes, k)
 }
 
 // Status returns the status of a request with some parts and, for a suspected one, the part with
@@ -169,14 +221,14 @@
 	}
 	l.counts = map[Part]int{}
 	for _, x := range l.crashes {
-		var explained []Part
+		x.explained = nil
 		for _, v := range l.verdicts {
 			if v.blocks(func(p Part) bool { return x.parts[p] }) {
-				explained = append(explained, v.parts...)
+				x.explained = append(x.explained, v.parts...)
 			}
 		}
 		for p, suspect := range x.parts {
-			if suspect && (len(explained) == 0 || slices.Contains(explained, p)) {
+			if suspect && x.counts(p) {
 				l.counts[p]++
 			}
 		}
@@ -189,34 +241,35 @@
 func (l *Ledger) Clear(parts []Part, now time.Duration) (cleared []Part, suspected bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.crashes)+len(l.verdicts) == 0 {
+	known := slices.DeleteFunc(slices.Clone(parts), func(p Part) bool { return l.standing[p] == 0 && !l.inVerdict(p) })
+	if len(known) == 0 {
 		return nil, false
 	}
-	if _, n := l.worst(parts); n >= l.suspectAfter {
+	if _, n := l.worst(known); n >= l.suspectAfter {
 		suspected = true
 	}
-	for _, p := range parts {
+	for _, p := range known {
 		if l.clear(p) {
 			cleared = append(cleared, p)
 			l.soundAt[p] = now
 		}
 	}
-	if cleared != nil {
-		l.counts = nil
-	}
 	return cleared, suspected
 }
 
+// clear removes a part from all crashes and verdicts, and reports whether it stood in any.
 func (l *Ledger) clear(p Part) bool {
 	found := false
 	for _, x := range l.crashes {
 		if x.parts[p] {
 			x.parts[p], found = false, true
+			l.acquit(x, p)
 		}
 	}
 	for _, v := range l.verdicts {
 		if i := slices.Index(v.parts, p); i >= 0 {
 			v.parts, found = slices.Delete(slices.Clone(v.parts), i, i+1), true
+			l.counts = nil
 		}
 	}
 	return found
@@ -304,8 +357,7 @@
 	defer l.mu.Unlock()
 	for k, x := range l.crashes {
 		if now-x.knownAt > evidenceRetention {
-			delete(l.crashes, k)
-			l.counts = nil
+			l.removeCrash(k)
 		}
 	}
 	for p, at := range l.soundAt {
