--- a/coordination/feed/feed.go
+++ b/coordination/feed/feed.go
@@ -119,6 +119,9 @@
 		if err != nil {
 			return err
 		}
+		if has := f.Mirror.Version(); v < has {
+			f.log.Warn("the store has a lower version than before", zap.Int64("has", int64(has)), zap.Int64("store", int64(v)), zap.Int64("era", int64(f.store.Eras.Current())))
+		}
 		f.Replace(rows, v, f.notify)
 		return nil
 	}
--- a/entry/freshness.go
+++ b/entry/freshness.go
@@ -110,8 +110,15 @@
 	return e.freshness[e.Tables.Configuration].State(now).Age, e.freshness[e.Tables.Upstreams].State(now).Age
 }
 
-// registerFreshness registers metrics for the freshness of the local copies of the tables.
+// registerFreshness registers metrics for the freshness of the local copies of the tables, and for
+// the era of the store.
 func (e *Entry) registerFreshness(r prometheus.Registerer) {
+	e.Store.Eras.OnChange = func(old, current mirror.Era) {
+		e.log.Warn("era of the store", zap.Int64("before", int64(old)), zap.Int64("now", int64(current)))
+	}
+	r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "gentiangauge_store_era", Help: "Newest known era of the store, which rises as it comes back from a copy.",
+	}, func() float64 { return float64(e.Store.Eras.Current()) }))
 	for t, x := range e.freshness {
 		labels := prometheus.Labels{"table": t}
 		r.MustRegister(
--- a/standin/memory/memory.go
+++ b/standin/memory/memory.go
@@ -36,7 +36,7 @@
 
 // Client returns a client of the store, to which InjectFault applies.
 func (s *Store) Client() *store.Store {
-	return &store.Store{Transact: s.transact, Read: s.read, Watch: s.watch}
+	return &store.Store{Eras: &store.Eras{}, Transact: s.transact, Read: s.read, Watch: s.watch}
 }
 
 func (s *Store) inject(call string) (bool, error) {
--- a/state/mirror/mirror.go
+++ b/state/mirror/mirror.go
@@ -10,6 +10,9 @@
 // Version is a value of the store's transaction counter, which is common to all tables.
 type Version int64
 
+// Era counts how often the store has come back from an older copy of itself.
+type Era int64
+
 // Row is a row of a table. A removed row is kept as a tombstone with the version of its
 // removal.
 type Row struct {
--- a/transport/store/store.go
+++ b/transport/store/store.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"sync"
 
 	"github.com/rotisserie/eris"
 
@@ -56,6 +57,8 @@
 // Store is the client of the platform's store. The implementation sets the function
 // fields; tests may replace them.
 type Store struct {
+	// Eras holds the newest era that an answer has stated.
+	Eras *Eras
 	// Transact executes a transaction. It fails with ErrUnavailable or ErrRejected.
 	Transact func(c context.Context, t Transaction) (Result, error)
 	// Read returns the rows of a table and the version at which they were read.
@@ -65,3 +68,33 @@
 	// changed within the store's waiting time. It can also fail with ErrCompacted.
 	Watch func(c context.Context, table string, after mirror.Version) ([]mirror.Row, mirror.Version, error)
 }
+
+// Eras holds the newest known era of the store. It is safe for concurrent use.
+type Eras struct {
+	// OnChange is called with each newer era. Nil ignores it.
+	OnChange func(old, current mirror.Era)
+
+	mu      sync.Mutex
+	current mirror.Era
+}
+
+// Current returns the newest known era, or 0 if none is known.
+func (e *Eras) Current() mirror.Era {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.current
+}
+
+// Observe records an era that the store or another instance has stated. It returns the newest
+// known one.
+func (e *Eras) Observe(x mirror.Era) mirror.Era {
+	e.mu.Lock()
+	old := e.current
+	e.current = max(old, x)
+	current := e.current
+	e.mu.Unlock()
+	if current > old && e.OnChange != nil {
+		e.OnChange(old, current)
+	}
+	return current
+}
