store: a version is the era and the counter of the store

Cause: a version was taken for one rising number. The rows after the drill had lower ones and were dropped as old, and each watch asked for changes after a version that the store did not have.

A watch or a condition of another era is not sent, and one whose answer is of another era does not count. Instances learn the era from each other's versions too.

Ruled out: forgetting the old versions on a 410 alone, since the store also answers 200 once its counter has passed them. Versions of the first era stay what they were on the wire between instances.

--- a/coordination/feed/feed.go
+++ b/coordination/feed/feed.go
@@ -87,6 +87,10 @@
 			f.log.Info("store has discarded the history; reading the whole table again")
 			complete = false
 			continue
+		case errors.Is(err, store.ErrRestored):
+			f.log.Warn("store has come back from a copy; reading the whole table again", zap.Int64("has", int64(f.Mirror.Version())), zap.Error(err))
+			complete = false
+			continue
 		}
 		f.recordCall(false, err)
 		_ = f.timer.Wait(c, backoff)
@@ -119,8 +123,10 @@
 		if err != nil {
 			return err
 		}
-		if has := f.Mirror.Version(); v < has {
-			f.log.Warn("the store has a lower version than before", zap.Int64("has", int64(has)), zap.Int64("store", int64(v)), zap.Int64("era", int64(f.store.Eras.Current())))
+		if has := f.Mirror.Version(); has != 0 && v.Era() > has.Era() {
+			f.recordRestored()
+		} else if v < has {
+			f.log.Warn("the store has a lower version than before", zap.Int64("has", int64(has)), zap.Int64("store", int64(v)))
 		}
 		f.Replace(rows, v, f.notify)
 		return nil
@@ -183,6 +189,14 @@
 	}
 }
 
+// recordRestored begins a new period of contact: rows that were written since the copy are
+// missing, and the upstreams write theirs again.
+func (f *Feed) recordRestored() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.contactState = contact.Contact{Reached: true, Since: f.timer.Boot(), Cause: contact.Restored}
+}
+
 // Failing reports whether the last call to the store failed, or none has succeeded yet.
 func (f *Feed) Failing() bool {
 	k := f.Contact()
--- a/entry/freshness.go
+++ b/entry/freshness.go
@@ -33,6 +33,7 @@
 func (e *Entry) applyVersions(b gossip.Heartbeat, now time.Duration) {
 	for t, x := range e.freshness {
 		theirs := b.Versions[pool.NewTag(t)]
+		e.Store.Eras.Observe(theirs.Era())
 		if t == e.Tables.Upstreams && theirs > e.tableVersion(t) && e.listings.AdvanceIfEqual(theirs, b.ListingsDigest) {
 			e.onPeerRows(t)
 		}
--- a/entry/row_sync.go
+++ b/entry/row_sync.go
@@ -156,6 +156,9 @@
 	if err != nil {
 		return err
 	}
+	if x := mirror.Version(r.Version).Era(); x > e.tableVersion(table).Era() {
+		return e.fetchTable(c, m, table, x)
+	}
 	if table != e.Tables.Upstreams {
 		f.ApplyFromPeer(r.mirrorRows(), mirror.Version(r.Version), r.settlesIn())
 		e.onPeerRows(table)
@@ -177,6 +180,25 @@
 	return nil
 }
 
+// fetchTable fetches all rows of a table after the store has come back from a copy. Rows that the
+// copy does not have, and that only this instance has, must not stay.
+func (e *Entry) fetchTable(c context.Context, m member, table string, era mirror.Era) error {
+	e.Store.Eras.Observe(era)
+	r, err := e.requestRows(c, m, table, 0)
+	if err != nil {
+		return err
+	}
+	f, v := e.feeds[table], mirror.Version(r.Version)
+	if table != e.Tables.Upstreams {
+		f.Replace(r.mirrorRows(), v, func(l []mirror.Row) { f.OnChange(l, r.settlesIn()) })
+	} else {
+		f.Replace(r.mirrorRows(), v, func(l []mirror.Row) { e.applyUpstreams(l, r.since(), r.settlesIn()) })
+		e.listings.AdvanceTo(v)
+	}
+	e.onPeerRows(table)
+	return nil
+}
+
 // requestRows requests the rows of a table that are newer than a version.
 func (e *Entry) requestRows(c context.Context, m member, table string, after mirror.Version) (*rowsReply, error) {
 	x, cancel := context.WithTimeout(c, rowsCallTimeout)
--- a/standin/memory/memory.go
+++ b/standin/memory/memory.go
@@ -35,11 +35,76 @@
 	return &Store{era: 1, rows: map[store.Key]mirror.Row{}, changed: make(chan struct{})}
 }
 
-// Client returns a client of the store, to which InjectFault applies.
-func (s *Store) Client() *store.Store {
+// RawClient returns a client of the store, to which InjectFault applies. Its versions have no era,
+// as on the wire.
+func (s *Store) RawClient() *store.Store {
 	return &store.Store{Eras: &store.Eras{}, Transact: s.transact, Read: s.read, Watch: s.watch}
 }
 
+// Client returns a client of the store, to which InjectFault applies. It learns the era from each
+// answer, as the client of the platform does.
+func (s *Store) Client() *store.Store {
+	raw, e := s.RawClient(), &store.Eras{}
+	pack := func(v mirror.Version) mirror.Version { return mirror.NewVersion(e.Current(), int64(v)) }
+	packRows := func(l []mirror.Row) []mirror.Row {
+		for i := range l {
+			l[i].Version = pack(l[i].Version)
+		}
+		return l
+	}
+	return &store.Store{
+		Eras: e,
+		Transact: func(c context.Context, t store.Transaction) (store.Result, error) {
+			before := e.Current()
+			if err := t.CheckEra(before); err != nil {
+				return store.Result{}, err
+			}
+			expected := map[store.Key]mirror.Version{}
+			for k, v := range t.Expected {
+				expected[k] = mirror.Version(v.Counter())
+			}
+			t.Expected = expected
+			r, err := raw.Transact(c, t)
+			if err != nil {
+				return r, err
+			}
+			if e.Observe(s.Era()) != before && before != 0 && len(t.Expected) > 0 {
+				return store.Result{}, store.ErrRestored
+			}
+			r.Version = pack(r.Version)
+			for k, x := range r.Current {
+				if x.Version != 0 {
+					x.Version = pack(x.Version)
+					r.Current[k] = x
+				}
+			}
+			return r, nil
+		},
+		Read: func(c context.Context, table string) ([]mirror.Row, mirror.Version, error) {
+			l, v, err := raw.Read(c, table)
+			if err != nil {
+				return nil, 0, err
+			}
+			e.Observe(s.Era())
+			return packRows(l), pack(v), nil
+		},
+		Watch: func(c context.Context, table string, after mirror.Version) ([]mirror.Row, mirror.Version, error) {
+			if after.Era() != max(e.Current(), 1) {
+				return nil, 0, store.ErrRestored
+			}
+			l, v, err := raw.Watch(c, table, mirror.Version(after.Counter()))
+			if s.Era() != after.Era() {
+				e.Observe(s.Era())
+				return nil, 0, store.ErrRestored
+			}
+			if err != nil {
+				return nil, 0, err
+			}
+			return packRows(l), pack(v), nil
+		},
+	}
+}
+
 // Copy is a copy of a store at one moment.
 type Copy struct {
 	version, compacted mirror.Version
--- a/state/contact/contact.go
+++ b/state/contact/contact.go
@@ -29,18 +29,20 @@
 // Cause is what began a period of contact with the store.
 type Cause int
 
-// Causes: Started is the first answer, Regained the first answer after failed calls, and
-// Resumed the start of reading after other instances had read for this one.
+// Causes: Started is the first answer, Regained the first answer after failed calls, Resumed the
+// start of reading after other instances had read for this one, and Restored the return of the
+// store from a copy.
 const (
 	Started  Cause = iota // started
 	Regained              // regained
 	Resumed               // resumed
+	Restored              // restored
 )
 
 // Unstable reports whether this instance's calls to the store fail, or failed until less
 // than SettleTime ago.
 func (k Contact) Unstable(now time.Duration) bool {
-	return !k.Reached || k.Failing || k.Cause == Regained && now-k.Since < SettleTime
+	return !k.Reached || k.Failing || (k.Cause == Regained || k.Cause == Restored) && now-k.Since < SettleTime
 }
 
 // Confirms reports whether the instance has reached the store for long enough to rule out
@@ -58,7 +60,8 @@
 // SettlesIn returns the time during which a row that is missing now may still reappear,
 // or 0. If most other readers confirm that the store was available, failures that only
 // this instance saw are its own and do not count. If this instance has just resumed
-// reading, the other readers alone decide.
+// reading, the other readers alone decide. After the store has come back from a copy, they
+// do not.
 func (k Contact) SettlesIn(p Peers, now time.Duration) time.Duration {
 	remaining := SettleTime
 	if k.Reached && !k.Failing {
@@ -67,6 +70,9 @@
 	switch {
 	case remaining <= 0:
 		return 0
+	case k.Cause == Restored:
+		// The copy is the same for all readers.
+		return remaining
 	case k.Unstable(now) && p.Confirming <= p.Unstable+1:
 		return remaining
 	case !k.Unstable(now) && k.Cause == Resumed && p.Unstable > 0 && p.Confirming <= p.Unstable:
--- a/state/mirror/mirror.go
+++ b/state/mirror/mirror.go
@@ -7,11 +7,29 @@
 	"sync"
 )
 
-// Version is a value of the store's transaction counter, which is common to all tables.
+// Era counts how often the store has come back from an older copy of itself. Era 0 means that the
+// store states none; it is the same as the first one, 1.
+type Era int64
+
+// Version is the era of the store and the value of its transaction counter, which is common to all
+// tables. Versions are ordered by era first. Version 0 stands for a row that does not exist.
 type Version int64
 
-// Era counts how often the store has come back from an older copy of itself.
-type Era int64
+// counterBits are the lower bits of a version, which hold the counter: enough for a century at a
+// rate of several hundred transactions a second. The versions of the first 8,192 eras are exact in
+// JSON numbers, and those of the first era equal the counter, as earlier builds exchange them.
+const counterBits = 40
+
+// NewVersion returns a version.
+func NewVersion(e Era, counter int64) Version {
+	return Version(int64(max(e, 1)-1)<<counterBits | counter)
+}
+
+// Era returns the era of a version, 1 or higher.
+func (v Version) Era() Era { return Era(v>>counterBits) + 1 }
+
+// Counter returns the value of the store's counter.
+func (v Version) Counter() int64 { return int64(v) & (1<<counterBits - 1) }
 
 // Row is a row of a table. A removed row is kept as a tombstone with the version of its
 // removal.
--- a/transport/store/store.go
+++ b/transport/store/store.go
@@ -22,6 +22,9 @@
 	// ErrCompacted means that the store no longer keeps the changes after the requested
 	// version.
 	ErrCompacted = eris.New("store no longer keeps the changes after this version")
+	// ErrRestored means that the store has come back from a copy since a version of the call was
+	// read. A conditional write may have taken effect.
+	ErrRestored = eris.New("store has come back from a copy since this version")
 )
 
 // Key identifies a row of a table.
@@ -36,6 +39,16 @@
 	Value []byte
 }
 
+// CheckEra fails with ErrRestored if a transaction has a condition on a version of another era.
+func (t Transaction) CheckEra(current mirror.Era) error {
+	for k, v := range t.Expected {
+		if v != 0 && v.Era() != max(current, 1) {
+			return eris.Wrapf(ErrRestored, "row %s/%s of era %d", k.Table, k.Key, v.Era())
+		}
+	}
+	return nil
+}
+
 // Transaction is applied completely if every expected row has the given version, and
 // not at all otherwise. Version 0 means that the row does not exist.
 type Transaction struct {
@@ -59,13 +72,13 @@
 type Store struct {
 	// Eras holds the newest era that an answer has stated.
 	Eras *Eras
-	// Transact executes a transaction. It fails with ErrUnavailable or ErrRejected.
+	// Transact executes a transaction. It fails with ErrUnavailable, ErrRejected or ErrRestored.
 	Transact func(c context.Context, t Transaction) (Result, error)
 	// Read returns the rows of a table and the version at which they were read.
 	Read func(c context.Context, table string) ([]mirror.Row, mirror.Version, error)
 	// Watch waits until rows of a table change after a version, and returns the changed
 	// rows with the version up to which they are complete. No rows mean that nothing
-	// changed within the store's waiting time. It can also fail with ErrCompacted.
+	// changed within the store's waiting time. It can also fail with ErrCompacted and ErrRestored.
 	Watch func(c context.Context, table string, after mirror.Version) ([]mirror.Row, mirror.Version, error)
 }
 
