ownership: claims and leases of another era of the store are void

Cause: a claim from before counted as valid if its version was high enough, and one that the copy brought back as if it had been written now.

With a new era an instance drops its lease and all claims. Who owned an upstream until then writes its claim again at once; all others wait out the lease that the former owner may have, known to them or not. The row era names the era once that time is over, so that instances which start later do not wait. Fencing tokens rise over a change of the era, as they hold it.

--- a/coordination/ownership/claim.go
+++ b/coordination/ownership/claim.go
@@ -26,6 +26,7 @@
 func (o *Ownership) Step(c context.Context) {
 	now := o.Timer.Boot()
 	o.mu.Lock()
+	o.observeEra()
 	leaving, lease, renewedAt := o.leaving, o.lease, o.renewedAt
 	o.mu.Unlock()
 	if leaving {
@@ -34,8 +35,9 @@
 	if lease != 0 && now-renewedAt >= renewInterval {
 		o.renewLease(c)
 	}
-	ups := o.Pool.Upstreams(now)
-	for _, t := range o.candidates(ups, now) {
+	ups, names := o.Pool.Upstreams(now), o.liveNames(now)
+	o.storeEra(c, now, slices.Clone(names))
+	for _, t := range o.candidates(ups, names, now) {
 		if !o.claimUpstream(c, t) {
 			break
 		}
@@ -68,6 +70,10 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if o.observeEra(); expected != 0 && expected.Era() != o.era.era || r.Committed && r.Version.Era() != o.era.era {
+		// Another answer has told of a new era meanwhile.
+		return
+	}
 	if !r.Committed {
 		o.adoptLease(r.Current[key])
 		return
@@ -105,24 +111,32 @@
 	// row. It is valid only if leaseKnown is set.
 	formerLease mirror.Version
 	leaseKnown  bool
+	// reclaim is set if this instance owned the upstream until the store came back from a copy.
+	// The claim that the copy may have is of an owner that had lost it.
+	reclaim bool
+	// era is the era in which the upstream was found to be claimable.
+	era mirror.Era
 }
 
-// candidates returns the upstreams without a live owner that it is this instance's turn
-// to claim.
-func (o *Ownership) candidates(ups []pool.Upstream, now time.Duration) []candidate {
-	if now-o.startedAt < startupDelay {
-		return nil
-	}
+// liveNames returns this instance and the live ones that may own upstreams.
+func (o *Ownership) liveNames(now time.Duration) []string {
 	names := []string{o.name}
 	for _, p := range o.Gossip.LivePeers(now) {
 		if p.Serving && !p.Surrendered {
 			names = append(names, p.Name)
 		}
 	}
-	names = eligibleOwners(names, len(ups))
-	if !slices.Contains(names, o.name) {
+	return names
+}
+
+// candidates returns the upstreams without a live owner that it is this instance's turn
+// to claim.
+func (o *Ownership) candidates(ups []pool.Upstream, names []string, now time.Duration) []candidate {
+	if now-o.startedAt < startupDelay {
 		return nil
 	}
+	names = eligibleOwners(names, len(ups))
+	eligible := slices.Contains(names, o.name)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	var out []candidate
@@ -131,7 +145,11 @@
 			continue
 		}
 		t, ok := o.claimable(u.ID, now)
-		if !ok {
+		if ok && t.reclaim {
+			out = append(out, t)
+			continue
+		}
+		if !ok || !eligible {
 			delete(o.waitingSince, u.ID)
 			continue
 		}
@@ -151,13 +169,29 @@
 // under which it can be claimed.
 func (o *Ownership) claimable(id pool.ID, now time.Duration) (candidate, bool) {
 	k, ok := o.claims[id]
-	t := candidate{id: id, claim: k}
-	if !ok {
+	t := candidate{id: id, claim: k, era: o.era.era}
+	if f, known := o.formerOwner(id, now); known {
+		t.reclaim = f == o.name
+		return t, t.reclaim
+	}
+	switch {
+	case k.owner == o.name && o.claimIsOwn(k):
+		return t, false
+	case o.eraSettling(now):
+		return t, false
+	case !ok || k.owner == o.name:
 		return t, true
 	}
-	if k.owner == o.name {
-		return t, !o.claimIsOwn(k)
+	t, ok = o.claimableFrom(t, now)
+	if t.formerLease != 0 && t.formerLease.Era() != o.era.era {
+		t.formerLease, t.leaseKnown = 0, false
 	}
+	return t, ok
+}
+
+// claimableFrom is claimable for an upstream with a claim of another instance.
+func (o *Ownership) claimableFrom(t candidate, now time.Duration) (candidate, bool) {
+	k := t.claim
 	p, known := o.Gossip.Peer(k.owner)
 	seenAt := max(p.ReceivedAt, p.LeaseReadAt)
 	switch {
@@ -226,9 +260,9 @@
 	o.mu.Unlock()
 	if lease == 0 || !o.leaseCurrent() {
 		o.renewLease(c)
-		if !o.leaseCurrent() {
-			return false
-		}
+	}
+	if !o.leaseCurrent() || !o.eraIs(t.era) {
+		return false
 	}
 	value, err := json.Marshal(claimRow{Owner: o.name})
 	if err != nil {
@@ -239,7 +273,7 @@
 		Expected: map[store.Key]mirror.Version{claimKey(t.id): t.claim.version},
 		Writes:   []store.Write{{Key: claimKey(t.id), Value: value}},
 	}
-	if t.claim.owner != "" && t.claim.owner != o.name {
+	if t.claim.owner != "" && t.claim.owner != o.name && !t.reclaim {
 		if !t.leaseKnown {
 			return o.readLease(c, t.claim.owner)
 		}
@@ -262,12 +296,16 @@
 		return false
 	}
 	o.mu.Lock()
+	if o.observeEra(); o.era.era != t.era || r.Committed && r.Version.Era() != t.era {
+		o.mu.Unlock()
+		return false
+	}
 	if !r.Committed {
 		o.applyCurrent(t, r)
 		o.mu.Unlock()
 		return true
 	}
-	o.updateClaim(t.id, claim{owner: o.name, version: r.Version})
+	o.updateClaim(t.id, claim{owner: o.name, version: r.Version, confirmed: true})
 	delete(o.waitingSince, t.id)
 	if t.formerLease != 0 {
 		o.removedLeases[t.claim.owner] = t.formerLease
@@ -286,7 +324,7 @@
 		if row.Version == 0 {
 			delete(o.claims, t.id)
 		} else if json.Unmarshal(row.Value, &m) == nil {
-			o.updateClaim(t.id, claim{owner: m.Owner, version: row.Version})
+			o.updateClaim(t.id, claim{owner: m.Owner, version: row.Version, confirmed: o.era.copyRead})
 		}
 	}
 	row, ok := r.Current[leaseKey(t.claim.owner)]
--- a/coordination/ownership/ownership.go
+++ b/coordination/ownership/ownership.go
@@ -71,9 +71,12 @@
 	Owner string `json:"owner"`
 }
 
+// claim is a known claim. It is confirmed if it was written in the present era, and not read from
+// the copy with which that era began.
 type claim struct {
-	owner   string
-	version mirror.Version
+	owner     string
+	version   mirror.Version
+	confirmed bool
 }
 
 // Services are the dependencies of Ownership.
@@ -109,6 +112,7 @@
 	// waitingSince is when an upstream was first seen without a live owner or, for
 	// upstreams that this instance owns, when it was first missing from the pool.
 	waitingSince map[pool.ID]time.Duration
+	era          eraState
 }
 
 // New returns the Ownership of an instance. Run distinguishes its starts; later ones
@@ -118,6 +122,7 @@
 	return &Ownership{
 		Services: s, name: name, run: run, startedAt: s.Timer.Boot(),
 		claims: map[pool.ID]claim{}, removedLeases: map[string]mirror.Version{}, waitingSince: map[pool.ID]time.Duration{},
+		era: eraState{era: 1, since: s.Timer.Boot(), copyRead: true, former: map[pool.ID]string{}},
 	}
 }
 
@@ -130,9 +135,18 @@
 func (o *Ownership) ApplyRows(rows []mirror.Row) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.observeEra()
+	confirmed := o.era.copyRead
 	for _, r := range rows {
 		id, ok := strings.CutPrefix(r.Key, ClaimPrefix)
+		if r.Version.Era() != o.era.era {
+			continue
+		}
+		o.era.copyRead = true
 		if !ok {
+			if r.Key == eraKey && !r.Removed {
+				o.applyEraRow(r.Value)
+			}
 			continue
 		}
 		var m claimRow
@@ -142,15 +156,22 @@
 		case json.Unmarshal(r.Value, &m) != nil:
 			o.Log.Error("failed to decode claim row", zap.String("key", r.Key))
 		default:
-			o.updateClaim(pool.ID(id), claim{owner: m.Owner, version: r.Version})
+			o.updateClaim(pool.ID(id), claim{owner: m.Owner, version: r.Version, confirmed: confirmed})
 		}
 	}
 }
 
-// updateClaim records a claim unless a newer one is known.
+// updateClaim records a claim unless a newer one is known. A confirmed one replaces the owner of
+// the era before.
 func (o *Ownership) updateClaim(id pool.ID, k claim) {
-	if k.version >= o.claims[id].version {
-		o.claims[id] = k
+	old := o.claims[id]
+	if k.version < old.version {
+		return
+	}
+	k.confirmed = k.confirmed || old.confirmed && k.version == old.version
+	o.claims[id] = k
+	if k.confirmed {
+		delete(o.era.former, id)
 	}
 }
 
@@ -171,8 +192,12 @@
 	return k.owner == o.name && o.epoch != 0 && k.version >= o.epoch
 }
 
-// leaseValid reports whether orders may be given under the lease.
+// leaseValid reports whether orders may be given under the lease. A lease of another era is void.
 func (o *Ownership) leaseValid(now time.Duration) bool {
+	return o.leaseUnexpired(now) && o.lease.Era() == max(o.Store.Eras.Current(), 1)
+}
+
+func (o *Ownership) leaseUnexpired(now time.Duration) bool {
 	return !o.leaving && o.lease != 0 && now-o.renewedAt < leaseDuration
 }
 
@@ -180,6 +205,13 @@
 func (o *Ownership) Owner(id pool.ID) (string, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	return o.owner(id)
+}
+
+func (o *Ownership) owner(id pool.ID) (string, bool) {
+	if f, ok := o.formerOwner(id, o.Timer.Boot()); ok && f != "" {
+		return f, true
+	}
 	k, ok := o.claims[id]
 	return k.owner, ok
 }
@@ -189,10 +221,18 @@
 func (o *Ownership) ObserveClaim(id pool.ID, owner string, v mirror.Version) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if owner != o.name {
-		o.updateClaim(id, claim{owner: owner, version: v})
+	o.observeEra()
+	_, known := o.era.former[id]
+	switch {
+	case owner == o.name:
+	case v.Era() == o.era.era:
+		o.updateClaim(id, claim{owner: owner, version: v, confirmed: true})
+	case v.Era() < o.era.era && !known && !o.claims[id].confirmed:
+		// The owner has not claimed the upstream again yet.
+		o.era.former[id] = owner
 	}
-	return o.claims[id].owner == owner
+	current, _ := o.owner(id)
+	return current == owner
 }
 
 // Owned returns the upstreams that this instance may give orders to, with the fencing
@@ -233,5 +273,6 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	delete(o.claims, id)
+	delete(o.era.former, id)
 	o.Log.Warn("claim lost: the upstream has seen a higher fencing token", zap.String("upstream", string(id)))
 }
--- a/coordination/ownership/ownership_test.go
+++ b/coordination/ownership/ownership_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -39,6 +40,7 @@
 	ownership *ownership.Ownership
 	// storeDown is set while the instance cannot reach the store.
 	storeDown bool
+	client    *store.Store
 }
 
 func newFleet(n int) *testFleet {
@@ -69,6 +71,7 @@
 		}
 		return inner(x, q)
 	}
+	n.client = c
 	n.ownership = ownership.New(n.name, n.run, ownership.Services{
 		Store: c, Timer: t, Gossip: n.gossip, Pool: n.pool, Log: zap.NewNop(),
 		NeedsOwner: func(pool.Upstream) bool { return true },
@@ -86,7 +89,7 @@
 
 // applyRows delivers the rows of the fleet table, as the feed of the store does.
 func (n *node) applyRows() {
-	rows, _, err := n.fleet.store.Client().Read(context.Background(), ownership.FleetTable)
+	rows, _, err := n.client.Read(context.Background(), ownership.FleetTable)
 	if err == nil {
 		n.ownership.ApplyRows(rows)
 	}
@@ -216,6 +219,49 @@
 	})
 }
 
+// The store comes back from a copy without any claim. The owners claim their upstreams again at
+// once, and nobody else does; new instances of a later start wait for nothing.
+func TestOwnersClaimAgainAfterARestoredStore(t *testing.T) {
+	w := newFleet(3)
+	c := w.store.Copy()
+	w.runFor(5 * time.Second)
+	before := owners(w)
+	w.store.Restore(c)
+	w.runFor(1500 * time.Millisecond)
+	for id, o := range before {
+		if got := owners(w)[id]; got != o {
+			t.Errorf("owner of %s is %q, want %q as before", id, got, o)
+		}
+	}
+	w.checkTokens(t.Fatalf)
+	w.runFor(12 * time.Second)
+	for _, n := range w.all {
+		n.start()
+	}
+	w.runFor(4 * time.Second)
+	if got := len(owners(w)); got != upstreams {
+		t.Errorf("%d upstreams have an owner after a later start of all instances, want %d", got, upstreams)
+	}
+}
+
+// The owner ends during the drill. Others wait until its lease has ended, and then claim.
+func TestOwnerThatEndsWithTheDrillIsReplaced(t *testing.T) {
+	w := newFleet(3)
+	c := w.store.Copy()
+	w.runFor(5 * time.Second)
+	dead := owners(w)["u0"]
+	w.store.Restore(c)
+	w.all = slices.DeleteFunc(w.all, func(n *node) bool { return n.name == dead })
+	w.runFor(7 * time.Second)
+	if o := owners(w)["u0"]; o != "" {
+		t.Errorf("%s owns u0 before the lease of %s has ended", o, dead)
+	}
+	w.runFor(6 * time.Second)
+	if o := owners(w)["u0"]; o == "" || o == dead {
+		t.Errorf("owner of u0 is %q, want another one than %q", o, dead)
+	}
+}
+
 // TestLeaseReadFromStoreIsWaitedFor guards against two owners of an upstream. The last
 // heartbeat of the first owner was sent before it had a lease; the second instance reads
 // that lease from the store and must wait until it has expired. Rapid found the schedule
