entry: write the member row again after the store has lost it

An instance that had started after the copy was made was missing from the member list of all others, so that it got no heartbeats from them. Its row is written again, and members whose rows are missing while rows may return are kept until they are silent for as long as members that end without a word.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -145,6 +145,9 @@
 	// verdictsStoredAt is when this instance last tried to store verdicts. Only housekeeping uses
 	// it.
 	verdictsStoredAt time.Duration
+	// memberRowWrittenAt is when this instance last wrote its lost member row again. Only
+	// housekeeping uses it.
+	memberRowWrittenAt time.Duration
 }
 
 // New returns an instance that has not been started. It fails if the peer address is invalid or in
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -32,6 +32,8 @@
 	// their quota levels only while there is such a peer, which may adopt them.
 	recentStartTime       = 2 * adoptionTime
 	registerRetryInterval = 300 * time.Millisecond
+	// memberRowInterval is the minimum time between two attempts to write a lost member row again.
+	memberRowInterval = time.Second
 )
 
 type memberRow struct {
@@ -96,8 +98,9 @@
 	return near, far
 }
 
-// onFleetRows applies new rows of members and claims.
-func (e *Entry) onFleetRows(rows []mirror.Row, _ time.Duration) {
+// onFleetRows applies new rows of members, claims and verdicts. Members whose rows are missing may
+// write them again within settlesIn; they are kept until they are silent.
+func (e *Entry) onFleetRows(rows []mirror.Row, settlesIn time.Duration) {
 	e.ownership.ApplyRows(rows)
 	e.applyVerdictRows(rows)
 	log := e.rowLogger("fleet", rows)
@@ -107,7 +110,9 @@
 			continue
 		}
 		if r.Removed {
-			e.members.remove(name)
+			if settlesIn == 0 {
+				e.members.remove(name)
+			}
 			continue
 		}
 		var m memberRow
@@ -136,12 +141,11 @@
 
 // register writes the member row of this instance, and retries until that succeeds or c ends.
 func (e *Entry) register(c context.Context) {
-	value, err := json.Marshal(memberRow{Front: e.FrontAddress, Peer: e.PeerAddress, Zone: e.Zone, Run: e.run})
+	t, err := e.memberTransaction()
 	if err != nil {
 		e.log.Error("cannot encode member row", zap.Error(err))
 		return
 	}
-	t := store.Transaction{Writes: []store.Write{{Key: store.Key{Table: ownership.FleetTable, Key: memberPrefix + e.Name}, Value: value}}}
 	for c.Err() == nil {
 		if _, err = e.Store.Transact(c, t); err == nil {
 			return
@@ -151,6 +155,26 @@
 	}
 }
 
+// restoreMemberRow writes the member row of this instance again if the store has lost it.
+func (e *Entry) restoreMemberRow(c context.Context, now time.Duration) {
+	r, ok := e.feeds[ownership.FleetTable].Mirror.Get(memberPrefix + e.Name)
+	if !ok || !r.Removed || e.leaving.Load() || now-e.memberRowWrittenAt < memberRowInterval {
+		return
+	}
+	e.memberRowWrittenAt = now
+	t, err := e.memberTransaction()
+	if err == nil {
+		_, err = e.Store.Transact(c, t)
+	}
+	e.log.Warn("the store has lost the member row of this instance; written again", zap.Int64("row-version", int64(r.Version)), zap.Error(err))
+}
+
+// memberTransaction returns the transaction that writes the member row of this instance.
+func (e *Entry) memberTransaction() (store.Transaction, error) {
+	value, err := json.Marshal(memberRow{Front: e.FrontAddress, Peer: e.PeerAddress, Zone: e.Zone, Run: e.run})
+	return store.Transaction{Writes: []store.Write{{Key: store.Key{Table: ownership.FleetTable, Key: memberPrefix + e.Name}, Value: value}}}, err
+}
+
 // Deregister deletes the member row of this instance.
 func (e *Entry) Deregister(c context.Context) {
 	t := store.Transaction{Deletes: []store.Key{{Table: ownership.FleetTable, Key: memberPrefix + e.Name}}}
@@ -273,8 +297,13 @@
 		if m, ok := e.members.get(p.Name); ok && now-p.ReceivedAt > memberTimeout {
 			e.retries.RemoveInstance(p.Name)
 			e.removeMember(c, p.Name, m)
+			if r, known := e.feeds[ownership.FleetTable].Mirror.Get(memberPrefix + p.Name); !known || r.Removed {
+				e.members.remove(p.Name)
+				e.updateMemberCount()
+			}
 		}
 	}
+	e.restoreMemberRow(c, now)
 	e.storeVerdicts(c, now)
 	e.chooseReader(now)
 	e.logMissingRows(now)
