pool: an upstream that left stays out of use as its old row comes back

The copy may list an upstream as ready that has been draining or gone since. A process that has drained remains so; one whose row was removed is used again only if the row outlasts the time within which the rows of ended upstreams expire.

--- a/entry/rows.go
+++ b/entry/rows.go
@@ -124,12 +124,20 @@
 			log("upstream", zap.String("id", r.Key), zap.String("service", string(u.Service)), zap.String("address", u.Address),
 				zap.Bool("draining", u.Draining), zap.Int64("born", u.StartedAt), zap.Int64("row-version", int64(r.Version)))
 		}
-		e.pool.Put(u)
+		if settlesIn > 0 {
+			e.pool.PutUnconfirmed(u, now, now+settlesIn+expiryTime)
+		} else {
+			e.pool.Put(u)
+		}
 	}
 	e.listings.Record(changes)
 	return relevant
 }
 
+// expiryTime is how much longer than the rows of live upstreams are missing the rows of ended ones
+// may exist after the store has come back from a copy: they expire after three heartbeats.
+const expiryTime = 2 * time.Second
+
 // bulkRows is the number of rows from which on they are logged in one line, as when an instance
 // starts, and individually only at the level debug.
 const bulkRows = 20
--- a/state/pool/admission.go
+++ b/state/pool/admission.go
@@ -56,8 +56,9 @@
 	limit       Limit
 }
 
-// noticeRetention is how long the notices of an upstream are kept after its row was
-// removed. The rows of upstreams that still run reappear sooner.
+// noticeRetention is how long an upstream and its notices are kept after its row was removed.
+// The rows of upstreams that still run reappear sooner, and so do old rows as the store comes
+// back from a copy.
 const noticeRetention = time.Minute
 
 // Admits decides whether a request may be sent to an upstream that was chosen earlier.
--- a/state/pool/pool.go
+++ b/state/pool/pool.go
@@ -76,9 +76,11 @@
 type entry struct {
 	Upstream
 	tag Tag
-	// removedAt is the instant from which the upstream is no longer used, or 0.
-	removedAt time.Duration
-	loaded    map[Tag]LoadedAdapter
+	// removedAt is the instant from which the upstream is no longer used, or 0. unconfirmedUntil
+	// is the instant before which a row that has reappeared may be an old copy.
+	removedAt        time.Duration
+	unconfirmedUntil time.Duration
+	loaded           map[Tag]LoadedAdapter
 	// recent are the adapters that the upstream had loaded recently and therefore loads faster.
 	recent map[Tag]bool
 	// local is the work of this instance, by adapter.
@@ -124,11 +126,31 @@
 
 // active reports whether the upstream has not been removed.
 func (e *entry) active(now time.Duration) bool {
-	return e.removedAt == 0 || now < e.removedAt
+	return now >= e.unconfirmedUntil && (e.removedAt == 0 || now < e.removedAt)
+}
+
+// PutUnconfirmed is Put for a row that may come from an old copy of the store. An upstream that was
+// removed before is used again only from an instant on, if its row still exists then: the rows of
+// upstreams that have stopped expire sooner.
+func (p *Pool) PutUnconfirmed(u Upstream, now, until time.Duration) {
+	p.mu.Lock()
+	e, ok := p.entries[u.ID]
+	gone := ok && e.StartedAt == u.StartedAt && e.removedAt != 0 && now >= e.removedAt
+	p.mu.Unlock()
+	p.Put(u)
+	if !gone {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if e, ok := p.entries[u.ID]; ok {
+		e.unconfirmedUntil = until
+	}
 }
 
 // Put adds or updates an upstream. A new process start time or address resets the state
-// observed of it, except for the work in flight and a pause.
+// observed of it, except for the work in flight and a pause. A process that has once been
+// draining remains so, since the row may come from an older copy of the store.
 func (p *Pool) Put(u Upstream) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -148,6 +170,7 @@
 		return
 	}
 	u.LimitRevision = e.LimitRevision
+	u.Draining = u.Draining || e.Draining
 	e.Upstream = u
 	e.removedAt = 0
 }
@@ -161,13 +184,13 @@
 	}
 }
 
-// Sweep deletes removed upstreams that have no running requests of this instance and no
-// notices to retain.
+// Sweep deletes removed upstreams that have no running requests of this instance after
+// noticeRetention.
 func (p *Pool) Sweep(now time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for id, e := range p.entries {
-		if kept := e.reported != (reportedState{}) && now-e.removedAt < noticeRetention; !e.active(now) && len(e.local) == 0 && !kept {
+		if e.removedAt != 0 && now >= e.removedAt+noticeRetention && len(e.local) == 0 {
 			delete(p.entries, id)
 			delete(p.tags, e.tag)
 		}
