--- a/state/mirror/mirror_test.go
+++ b/state/mirror/mirror_test.go
@@ -1,11 +1,15 @@
 package mirror_test
 
 import (
+	"context"
+	"errors"
 	"testing"
 
 	"pgregory.net/rapid"
 
+	"gentiangauge.example/gentiangauge/standin/memory"
 	"gentiangauge.example/gentiangauge/state/mirror"
+	"gentiangauge.example/gentiangauge/transport/store"
 )
 
 func row(key, value string, v mirror.Version) mirror.Row {
@@ -95,3 +99,78 @@
 		}
 	})
 }
+
+// Versions are ordered by the era first. Those of the first era, and of a store without eras, equal
+// the counter.
+func TestVersionsAreOrderedByEraFirst(t *testing.T) {
+	if v := mirror.NewVersion(2, 5); v <= mirror.NewVersion(1, 900) || v.Era() != 2 || v.Counter() != 5 {
+		t.Errorf("version %d is of era %d with counter %d", v, v.Era(), v.Counter())
+	}
+	if a, b := mirror.NewVersion(0, 7), mirror.NewVersion(1, 7); a != 7 || b != 7 || a.Era() != 1 {
+		t.Errorf("the versions without an era and of the first are %d and %d", a, b)
+	}
+	// Fencing tokens go out as JSON numbers, which are exact up to 2^53.
+	if v := mirror.NewVersion(8000, 1<<40-1); mirror.Version(float64(v)) != v {
+		t.Errorf("version %d is not exact as a JSON number", v)
+	}
+}
+
+// A mirror follows a store that comes back from copies now and then: by whole reads after that, and
+// by changes otherwise. It must end up with the rows of the store, whatever it held before.
+func TestMirrorFollowsARestoredStore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := memory.New()
+		c := s.Client()
+		m, copies := mirror.New(), []memory.Copy{s.Copy()}
+		read := func() {
+			rows, v, err := c.Read(t.Context(), "t")
+			if err != nil {
+				t.Fatal(err)
+			}
+			m.Replace(rows, v)
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "length") {
+			k := store.Key{Table: "t", Key: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key")}
+			switch rapid.IntRange(0, 5).Draw(t, "act") {
+			case 0, 1:
+				s.Apply(store.Transaction{Writes: []store.Write{{Key: k, Value: []byte(rapid.StringN(1, 2, -1).Draw(t, "value"))}}})
+			case 2:
+				s.Apply(store.Transaction{Deletes: []store.Key{k}})
+			case 3:
+				copies = append(copies, s.Copy())
+			case 4:
+				s.Restore(rapid.SampledFrom(copies).Draw(t, "copy"))
+			case 5:
+				// A watch that would wait for changes ends at once.
+				ended, cancel := context.WithCancel(t.Context())
+				cancel()
+				rows, v, err := c.Watch(ended, "t", m.Version())
+				switch {
+				case err == nil:
+					m.Apply(rows, v)
+				case !errors.Is(err, store.ErrUnavailable):
+					read()
+				}
+			}
+		}
+		read()
+		rows, _, err := c.Read(t.Context(), "t")
+		if err != nil {
+			t.Fatal(err)
+		}
+		n := 0
+		for _, r := range m.Since(-1) {
+			if !r.Removed {
+				n++
+			}
+		}
+		for _, r := range rows {
+			if x, ok := m.Get(r.Key); !ok || x.Removed || string(x.Value) != string(r.Value) {
+				t.Fatalf("row %s is %q, the mirror has %q, %v", r.Key, r.Value, x.Value, ok)
+			}
+		}
+		if n != len(rows) {
+			t.Fatalf("the mirror has %d rows, the store %d", n, len(rows))
+		}
+	})
+}
