ownership: an owner in name alone claims its upstream again, eligible or not

What callers would see: no adapter is loaded on an engine any more.

Cause: in a fleet with more instances than owners, an instance whose claim had become void while its lease was renewed did not claim again, as it was not among those that may own; all others waited for it, as it was alive with a lease. A store that comes back from a copy makes such claims; a lost lease could too.

--- a/coordination/ownership/claim.go
+++ b/coordination/ownership/claim.go
@@ -145,7 +145,8 @@
 			continue
 		}
 		t, ok := o.claimable(u.ID, now)
-		if ok && t.reclaim {
+		if ok && (t.reclaim || t.claim.owner == o.name) {
+			// The others wait for this instance as long as it has a lease.
 			out = append(out, t)
 			continue
 		}
