feed: end the wait for changes as a newer era is known

What callers could see: a change that was made in the seconds before an instance reached the restored store again comes into force there up to 10 s late.

Cause: a watch after version 300 of the era before is answered only at the next change once the store has passed 300 again; until then no answer states the era.

Any answer to this instance or any peer's heartbeat that tells of the era now ends the wait.

--- a/coordination/feed/feed.go
+++ b/coordination/feed/feed.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"gentiangauge.example/gentiangauge/state/contact"
@@ -136,7 +137,7 @@
 		f.Replace(rows, v, f.notify)
 		return nil
 	}
-	rows, v, err := f.store.Watch(c, f.Table, f.Mirror.Version())
+	rows, v, err := f.watch(c, f.Mirror.Version())
 	if err != nil {
 		return err
 	}
@@ -144,6 +145,26 @@
 	return nil
 }
 
+// watch waits for changes after a version, until a newer era is known: the store may have passed
+// that version again, and would then answer only at the next change.
+func (f *Feed) watch(c context.Context, after mirror.Version) ([]mirror.Row, mirror.Version, error) {
+	x, cancel := context.WithCancel(c)
+	defer cancel()
+	changed := f.store.Eras.Changed(after.Era())
+	go func() {
+		select {
+		case <-changed:
+			cancel()
+		case <-x.Done():
+		}
+	}()
+	rows, v, err := f.store.Watch(x, f.Table, after)
+	if err != nil && c.Err() == nil && x.Err() != nil {
+		return nil, 0, eris.Wrapf(store.ErrRestored, "the wait for changes after a version of era %d was ended", after.Era())
+	}
+	return rows, v, err
+}
+
 // ApplyFromPeer applies rows that another instance has read, complete up to a version.
 // SettlesIn is the value of that instance.
 func (f *Feed) ApplyFromPeer(rows []mirror.Row, upTo mirror.Version, settlesIn time.Duration) {
--- a/coordination/feed/feed_test.go
+++ b/coordination/feed/feed_test.go
@@ -209,35 +209,38 @@
 	}
 }
 
-// The store comes back from a copy. The mirror follows it, and rows that are missing from the copy
-// may return within the time that the users state.
+// The store comes back from a copy and has passed the mirror's version again, with another row, so
+// that a watch after that version would wait for the next change. Once a peer has told of the new
+// era, the mirror follows, and rows that are missing may return within the time that the users state.
 func TestRestoredStoreIsReadWhole(t *testing.T) {
 	b := newFixture(t)
-	var mu sync.Mutex
+	c := b.store.Client()
 	settles := map[string]time.Duration{}
 	changed := b.feed.OnChange
-	b.feed.OnChange = func(rows []mirror.Row, settlesIn time.Duration) {
-		mu.Lock()
+	b.feed = feed.New("t", c, b.timer, zap.NewNop(), func(rows []mirror.Row, settlesIn time.Duration) {
+		b.mu.Lock()
 		for _, r := range rows {
 			if r.Removed {
 				settles[r.Key] = settlesIn
 			}
 		}
-		mu.Unlock()
+		b.mu.Unlock()
 		changed(rows, settlesIn)
-	}
+	})
 	b.put("kept")
-	c := b.store.Copy()
+	old := b.store.Copy()
 	b.start()
 	b.put("lost")
 	b.waitFor("the kept row", b.reported("kept", true))
 	b.waitFor("the row that will be lost", b.reported("lost", true))
-	b.store.Restore(c)
+	b.store.Restore(old)
 	b.put("new")
+	time.Sleep(300 * time.Millisecond)
+	c.Eras.Observe(b.store.Era())
 	b.waitFor("the loss", b.reported("lost", false))
 	b.waitFor("the new row", b.reported("new", true))
-	mu.Lock()
-	defer mu.Unlock()
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	if d := settles["lost"]; d < 2*time.Second {
 		t.Errorf("the lost row may return within %v, want more than 2 s", d)
 	}
--- a/standin/memory/memory.go
+++ b/standin/memory/memory.go
@@ -217,13 +217,19 @@
 	return out
 }
 
-// watch blocks until rows of the table have changed after the given version.
+// watch blocks until rows of the table have changed after the given version. It breaks off as the
+// store is replaced by a copy.
 func (s *Store) watch(c context.Context, table string, after mirror.Version) ([]mirror.Row, mirror.Version, error) {
+	era := s.Era()
 	for {
 		if done, err := s.inject("watch"); !done || err != nil {
 			return nil, 0, err
 		}
 		s.mu.Lock()
+		if s.era != era {
+			s.mu.Unlock()
+			return nil, 0, store.ErrUnavailable
+		}
 		if after < s.compacted || after > s.version {
 			s.mu.Unlock()
 			return nil, 0, store.ErrCompacted
--- a/transport/store/store.go
+++ b/transport/store/store.go
@@ -89,25 +89,46 @@
 
 	mu      sync.Mutex
 	current mirror.Era
+	// changed is closed at the next change, if it is not nil.
+	changed chan struct{}
+}
+
+// Changed returns a channel that is closed as soon as an era newer than e is known.
+func (x *Eras) Changed(e mirror.Era) <-chan struct{} {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.changed == nil {
+		x.changed = make(chan struct{})
+	}
+	c := x.changed
+	if x.current > e {
+		c = make(chan struct{})
+		close(c)
+	}
+	return c
 }
 
 // Current returns the newest known era, or 0 if none is known.
-func (e *Eras) Current() mirror.Era {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.current
+func (x *Eras) Current() mirror.Era {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.current
 }
 
 // Observe records an era that the store or another instance has stated. It returns the newest
 // known one.
-func (e *Eras) Observe(x mirror.Era) mirror.Era {
-	e.mu.Lock()
-	old := e.current
-	e.current = max(old, x)
-	current := e.current
-	e.mu.Unlock()
-	if current > old && e.OnChange != nil {
-		e.OnChange(old, current)
+func (x *Eras) Observe(e mirror.Era) mirror.Era {
+	x.mu.Lock()
+	old := x.current
+	x.current = max(old, e)
+	current := x.current
+	if current > old && x.changed != nil {
+		close(x.changed)
+		x.changed = nil
+	}
+	x.mu.Unlock()
+	if current > old && x.OnChange != nil {
+		x.OnChange(old, current)
 	}
 	return current
 }
