--- a/coordination/ownership/ownership_test.go
+++ b/coordination/ownership/ownership_test.go
@@ -144,79 +144,52 @@
 // answers and late heartbeats. After each step, at most one instance may give orders to
 // an upstream, and its token must not be lower than an earlier one.
 func TestOneOwnerThroughFaults(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		w := newFleet(3)
-		loseAnswers := false
-		w.store.InjectFault = func(string) (bool, error) {
-			if loseAnswers {
-				return true, store.ErrUnavailable
-			}
-			return true, nil
-		}
-		pick := func(label string) *node { return w.all[rapid.IntRange(0, len(w.all)-1).Draw(t, label)] }
-		for range rapid.IntRange(20, 200).Draw(t, "length") {
-			switch rapid.IntRange(0, 9).Draw(t, "act") {
-			case 0, 1, 2, 3:
-				// Instances that are not drawn stay frozen.
-				pick("steps").step()
-			case 4:
-				pick("from").sendHeartbeat(pick("to"))
-			case 5:
-				pick("feeds").applyRows()
-			case 6:
-				w.now += time.Duration(rapid.IntRange(50, 6000).Draw(t, "ms")) * time.Millisecond
-			case 7:
-				n := pick("cuts")
-				n.storeDown = !n.storeDown
-			case 8:
-				pick("restarts").start()
-			case 9:
-				loseAnswers = !loseAnswers
-			}
-			w.checkTokens(t.Fatalf)
-		}
-	})
+	rapid.Check(t, func(t *rapid.T) { runSchedule(t, 9) })
 }
 
 // TestOneOwnerThroughRestoredStores draws the same schedules with drills, in which the store comes
 // back from an earlier copy. Claims and leases go back, and versions are given out again.
 func TestOneOwnerThroughRestoredStores(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		w := newFleet(3)
-		loseAnswers := false
-		w.store.InjectFault = func(string) (bool, error) {
-			if loseAnswers {
-				return true, store.ErrUnavailable
-			}
-			return true, nil
+	rapid.Check(t, func(t *rapid.T) { runSchedule(t, 11) })
+}
+
+// runSchedule draws acts up to a number and checks the tokens after each of them.
+func runSchedule(t *rapid.T, lastAct int) {
+	w := newFleet(3)
+	loseAnswers := false
+	w.store.InjectFault = func(string) (bool, error) {
+		if loseAnswers {
+			return true, store.ErrUnavailable
 		}
-		pick := func(label string) *node { return w.all[rapid.IntRange(0, len(w.all)-1).Draw(t, label)] }
-		copies := []memory.Copy{w.store.Copy()}
-		for range rapid.IntRange(20, 200).Draw(t, "length") {
-			switch rapid.IntRange(0, 11).Draw(t, "act") {
-			case 0, 1, 2, 3:
-				pick("steps").step()
-			case 4:
-				pick("from").sendHeartbeat(pick("to"))
-			case 5:
-				pick("feeds").applyRows()
-			case 6:
-				w.now += time.Duration(rapid.IntRange(50, 6000).Draw(t, "ms")) * time.Millisecond
-			case 7:
-				n := pick("cuts")
-				n.storeDown = !n.storeDown
-			case 8:
-				pick("restarts").start()
-			case 9:
-				loseAnswers = !loseAnswers
-			case 10:
-				copies = append(copies, w.store.Copy())
-			case 11:
-				w.store.Restore(copies[len(copies)-1])
-			}
-			w.checkTokens(t.Fatalf)
+		return true, nil
+	}
+	pick := func(label string) *node { return w.all[rapid.IntRange(0, len(w.all)-1).Draw(t, label)] }
+	c := w.store.Copy()
+	for range rapid.IntRange(20, 200).Draw(t, "length") {
+		switch rapid.IntRange(0, lastAct).Draw(t, "act") {
+		case 0, 1, 2, 3:
+			// Instances that are not drawn stay frozen.
+			pick("steps").step()
+		case 4:
+			pick("from").sendHeartbeat(pick("to"))
+		case 5:
+			pick("feeds").applyRows()
+		case 6:
+			w.now += time.Duration(rapid.IntRange(50, 6000).Draw(t, "ms")) * time.Millisecond
+		case 7:
+			n := pick("cuts")
+			n.storeDown = !n.storeDown
+		case 8:
+			pick("restarts").start()
+		case 9:
+			loseAnswers = !loseAnswers
+		case 10:
+			c = w.store.Copy()
+		case 11:
+			w.store.Restore(c)
 		}
-	})
+		w.checkTokens(t.Fatalf)
+	}
 }
 
 // The store comes back from a copy without any claim. The owners claim their upstreams again at
