suspect: repeated crashes leave room for the heartbeat in its datagram

What operators could see: an instance whose upstream crashes with many requests of long prompts sends no heartbeat for four seconds, and is taken for gone.

Cause: what is repeated was bounded by crashes, not by their parts: 128 crashes of 64 parts are 72 KB, a datagram has 32. TestRepeatedCrashesFitIntoAHeartbeat failed before.

--- a/coordination/suspect/suspect.go
+++ b/coordination/suspect/suspect.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,8 +21,10 @@
 	// repeatTime is how long own evidence is repeated, because announcements may be lost. The
 	// heartbeats between availability zones of a large fleet are some three seconds apart.
 	repeatTime = 4 * time.Second
-	// maxRepeated bounds the crashes and the parts that are repeated at a time.
-	maxRepeated = 128
+	// maxRepeated bounds the crashes and the cleared parts that are repeated at a time, and
+	// maxRepeatedParts the parts of these crashes, so that a heartbeat fits into a datagram.
+	maxRepeated      = 128
+	maxRepeatedParts = 1024
 	// reportWait is the time in which the other instances report what they had on an upstream
 	// that has crashed.
 	reportWait = 100 * time.Millisecond
@@ -220,7 +223,11 @@
 	for len(r.sound) > 0 && (now-r.sound[0].at > repeatTime || len(r.sound) > maxRepeated) {
 		r.sound = r.sound[1:]
 	}
-	for _, x := range r.crashes {
+	parts := 0
+	for _, x := range slices.Backward(r.crashes) {
+		if parts += len(x.Parts); parts > maxRepeatedParts {
+			break
+		}
 		m.Crashes = append(m.Crashes, encodeCrash(x.Evidence))
 	}
 	for _, x := range r.sound {
--- a/coordination/suspect/suspect_test.go
+++ b/coordination/suspect/suspect_test.go
@@ -103,3 +103,19 @@
 		t.Errorf("verdicts %v", v)
 	}
 }
+
+// An upstream crashes with hundreds of requests whose prompts have many parts. What the heartbeats
+// repeat must leave room for the rest of a heartbeat in a datagram of 32 KB.
+func TestRepeatedCrashesFitIntoAHeartbeat(t *testing.T) {
+	f := newFleet()
+	for i := range 300 {
+		var many []suspicion.Part
+		for j := range 64 {
+			many = append(many, suspicion.Part(100*i+j))
+		}
+		f.first.RecordCrash(context.Background(), suspicion.Crash{Upstream: "an-upstream-with-a-long-name", StartedAt: int64(i)}, many, false)
+	}
+	if n := len(f.first.Payload()); n == 0 || n > 16<<10 {
+		t.Errorf("%d bytes are repeated", n)
+	}
+}
