store: an era that cannot be read is logged, and the known one holds

What operators could see: versions that turn negative after an era above 8 million, and nothing in the logs about an era that is no number.

Cause: an unreadable era was taken for none without a line, and a version holds 22 bits of an era at most.

--- a/entry/freshness.go
+++ b/entry/freshness.go
@@ -117,6 +117,9 @@
 	e.Store.Eras.OnChange = func(old, current mirror.Era) {
 		e.log.Warn("era of the store", zap.Int64("before", int64(old)), zap.Int64("now", int64(current)))
 	}
+	e.Store.Eras.OnInvalid = func(text string) {
+		e.log.Error("era of the store cannot be read; the one known so far holds", zap.String("text", text), zap.Int64("era", int64(e.Store.Eras.Current())))
+	}
 	r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "gentiangauge_store_era", Help: "Newest known era of the store, which rises as it comes back from a copy.",
 	}, func() float64 { return float64(e.Store.Eras.Current()) }))
--- a/state/mirror/mirror.go
+++ b/state/mirror/mirror.go
@@ -20,7 +20,10 @@
 // JSON numbers, and those of the first era equal the counter, as earlier builds exchange them.
 const counterBits = 40
 
-// NewVersion returns a version.
+// MaxEra is the highest era that a version can hold.
+const MaxEra Era = 1 << (62 - counterBits)
+
+// NewVersion returns a version. The era must not be above MaxEra.
 func NewVersion(e Era, counter int64) Version {
 	return Version(int64(max(e, 1)-1)<<counterBits | counter)
 }
--- a/transport/store/store.go
+++ b/transport/store/store.go
@@ -86,6 +86,8 @@
 type Eras struct {
 	// OnChange is called with each newer era. Nil ignores it.
 	OnChange func(old, current mirror.Era)
+	// OnInvalid is called with the quoted text of an era that cannot be read. Nil ignores it.
+	OnInvalid func(text string)
 
 	mu      sync.Mutex
 	current mirror.Era
