contact, feed: rows settle after a restored store at every instance

Cause: how long rows are unreliable after the drill was known only to an instance that had read the copy from the store itself. One that took the rows from a peer used the peer's value, and a peer that had its rows from another one in turn stated none, so that the copy's row of the ended upstream was used at once, and missing rows of members and upstreams counted as gone.

Change: each feed records when it learned of a newer era, from whomever, and its own time counts beside that of the peer. The period of contact is no longer replaced by that.

Ruled out: the pool, which marks such rows as unconfirmed whenever it is told to; a second reader.

TestRowsOfAPeerSettleAfterARestoredStore replays the chain of peers; before the change the rows of the second peer settled in 0 s.

--- a/coordination/feed/feed.go
+++ b/coordination/feed/feed.go
@@ -129,9 +129,7 @@
 		if err != nil {
 			return err
 		}
-		if has := f.Mirror.Version(); has != 0 && v.Era() > has.Era() {
-			f.recordRestored()
-		} else if v < has {
+		if has := f.Mirror.Version(); v < has {
 			f.log.Warn("the store has a lower version than before", zap.Int64("has", int64(has)), zap.Int64("store", int64(v)))
 		}
 		f.Replace(rows, v, f.notify)
@@ -168,7 +166,14 @@
 // ApplyFromPeer applies rows that another instance has read, complete up to a version.
 // SettlesIn is the value of that instance.
 func (f *Feed) ApplyFromPeer(rows []mirror.Row, upTo mirror.Version, settlesIn time.Duration) {
-	f.Apply(rows, upTo, func(l []mirror.Row) { f.OnChange(l, settlesIn) })
+	f.Apply(rows, upTo, func(l []mirror.Row) { f.OnChange(l, f.PeerSettlesIn(settlesIn)) })
+}
+
+// PeerSettlesIn returns the time during which a row that is missing from the rows of another
+// instance may still reappear. That instance may not have read the store itself, and so may not
+// have waited since the store came back from a copy.
+func (f *Feed) PeerSettlesIn(settlesIn time.Duration) time.Duration {
+	return max(settlesIn, f.Contact().RestoreSettlesIn(f.timer.Boot()))
 }
 
 // Apply applies rows that are complete up to a version, and calls changed with those that
@@ -184,10 +189,13 @@
 }
 
 // Replace replaces the mirror with the whole table as of a version, and calls changed as
-// Apply does.
+// Apply does. A version of a newer era means that the store has come back from a copy.
 func (f *Feed) Replace(rows []mirror.Row, asOf mirror.Version, changed func(rows []mirror.Row)) {
 	f.applyMu.Lock()
 	defer f.applyMu.Unlock()
+	if has := f.Mirror.Version(); has != 0 && asOf.Era() > has.Era() {
+		f.recordRestored()
+	}
 	if l := f.Mirror.Replace(rows, asOf); len(l) > 0 {
 		changed(l)
 	}
@@ -205,9 +213,9 @@
 	k, now := &f.contactState, f.timer.Boot()
 	switch {
 	case ok && !k.Reached:
-		*k = contact.Contact{Reached: true, Since: now, Cause: contact.Started}
+		*k = contact.Contact{Reached: true, Since: now, Cause: contact.Started, RestoredAt: k.RestoredAt}
 	case ok && k.Failing:
-		*k = contact.Contact{Reached: true, Since: now, Cause: contact.Regained}
+		*k = contact.Contact{Reached: true, Since: now, Cause: contact.Regained, RestoredAt: k.RestoredAt}
 		f.log.Info("store regained")
 	case !ok && !k.Failing:
 		k.Failing = true
@@ -215,12 +223,12 @@
 	}
 }
 
-// recordRestored begins a new period of contact: rows that were written since the copy are
-// missing, and the upstreams write theirs again.
+// recordRestored records that the store has come back from a copy: rows that were written since
+// are missing, and their writers write them again.
 func (f *Feed) recordRestored() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.contactState = contact.Contact{Reached: true, Since: f.timer.Boot(), Cause: contact.Restored}
+	f.contactState.RestoredAt = f.timer.Boot()
 }
 
 // Failing reports whether the last call to the store failed, or none has succeeded yet.
--- a/coordination/feed/feed_test.go
+++ b/coordination/feed/feed_test.go
@@ -245,3 +245,21 @@
 		t.Errorf("the lost row may return within %v, want more than 2 s", d)
 	}
 }
+
+// An instance that does not read the store gets the rows of the copy from another one that does not
+// either, and therefore states that missing rows are gone for good.
+func TestRowsOfAPeerSettleAfterARestoredStore(t *testing.T) {
+	var settlesIn []time.Duration
+	f := feed.New("t", memory.New().Client(), timer.New(), zap.NewNop(), func(_ []mirror.Row, d time.Duration) { settlesIn = append(settlesIn, d) })
+	row := func(key string, v mirror.Version) mirror.Row { return mirror.Row{Key: key, Version: v} }
+	f.ApplyFromPeer([]mirror.Row{row("a", 7), row("b", 7)}, 7, 0)
+	copied := mirror.NewVersion(2, 5)
+	f.Replace([]mirror.Row{row("a", copied)}, copied, func([]mirror.Row) { settlesIn = append(settlesIn, f.PeerSettlesIn(0)) })
+	f.ApplyFromPeer([]mirror.Row{{Key: "a", Version: copied + 1, Removed: true}}, copied+1, 0)
+	if len(settlesIn) != 3 || settlesIn[0] != 0 || settlesIn[1] <= 0 || settlesIn[2] <= 0 {
+		t.Errorf("rows settle in %v, want none at first and some after the drill", settlesIn)
+	}
+	if d := f.SettlesIn(); d <= 0 {
+		t.Errorf("tells others that rows settle in %v", d)
+	}
+}
--- a/entry/row_sync.go
+++ b/entry/row_sync.go
@@ -164,7 +164,7 @@
 		e.onPeerRows(table)
 		return nil
 	}
-	apply := func(rows []mirror.Row) { e.applyUpstreams(rows, r.since(), r.settlesIn()) }
+	apply := func(rows []mirror.Row) { e.applyUpstreams(rows, r.since(), f.PeerSettlesIn(r.settlesIn())) }
 	f.Apply(r.mirrorRows(), mirror.Version(r.Version), apply)
 	if e.listings.AdvanceIfEqual(mirror.Version(r.Version), r.Digest) {
 		e.onPeerRows(table)
@@ -190,9 +190,9 @@
 	}
 	f, v := e.feeds[table], mirror.Version(r.Version)
 	if table != e.Tables.Upstreams {
-		f.Replace(r.mirrorRows(), v, func(l []mirror.Row) { f.OnChange(l, r.settlesIn()) })
+		f.Replace(r.mirrorRows(), v, func(l []mirror.Row) { f.OnChange(l, f.PeerSettlesIn(r.settlesIn())) })
 	} else {
-		f.Replace(r.mirrorRows(), v, func(l []mirror.Row) { e.applyUpstreams(l, r.since(), r.settlesIn()) })
+		f.Replace(r.mirrorRows(), v, func(l []mirror.Row) { e.applyUpstreams(l, r.since(), f.PeerSettlesIn(r.settlesIn())) })
 		e.listings.AdvanceTo(v)
 	}
 	e.onPeerRows(table)
--- a/state/contact/cause_string.go
+++ b/state/contact/cause_string.go
@@ -11,12 +11,11 @@
 	_ = x[Started-0]
 	_ = x[Regained-1]
 	_ = x[Resumed-2]
-	_ = x[Restored-3]
 }
 
-const _Cause_name = "startedregainedresumedrestored"
+const _Cause_name = "startedregainedresumed"
 
-var _Cause_index = [...]uint8{0, 7, 15, 22, 30}
+var _Cause_index = [...]uint8{0, 7, 15, 22}
 
 func (i Cause) String() string {
 	idx := int(i) - 0
--- a/state/contact/contact_test.go
+++ b/state/contact/contact_test.go
@@ -69,3 +69,22 @@
 	fmt.Println(k.SettlesIn(contact.Peers{Confirming: 1, Unstable: 4}, time.Minute+time.Second))
 	// Output: 1.3s
 }
+
+// After the store has come back from a copy, rows settle at each instance, however it learned of
+// that and whatever the others found.
+func TestRowsSettleAfterARestoredStore(t *testing.T) {
+	for _, c := range []contact.Cause{contact.Started, contact.Regained, contact.Resumed} {
+		k := since(time.Minute, c)
+		k.RestoredAt = now - time.Second
+		if d, want := k.SettlesIn(contact.Peers{Confirming: 9}, now), contact.SettleTime-time.Second; d != want {
+			t.Errorf("%v: settles in %v, want %v", c, d, want)
+		}
+		if k.Confirms(now) || !k.Unstable(now) {
+			t.Errorf("%v: confirms %v, unstable %v", c, k.Confirms(now), k.Unstable(now))
+		}
+		k.RestoredAt = now - contact.SettleTime
+		if d := k.SettlesIn(contact.Peers{}, now); d != 0 || k.Unstable(now) {
+			t.Errorf("%v: settles in %v after SettleTime, unstable %v", c, d, k.Unstable(now))
+		}
+	}
+}
