entry: write a member row again that the store lost before it was read

Cause: the row was written again only if the local copy of the table had a tombstone of it, and a copy that had never had the row gets none.

Change: the instance keeps the version at which it wrote its row. The row is lost if the copy is complete up to that version and lacks it; versions of a later era are higher.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -145,6 +145,8 @@
 	// verdictsStoredAt is when this instance last tried to store verdicts. Only housekeeping uses
 	// it.
 	verdictsStoredAt time.Duration
+	// memberRowVersion is the version at which this instance last wrote its member row, or 0.
+	memberRowVersion atomic.Int64
 	// memberRowWrittenAt is when this instance last wrote its lost member row again. Only
 	// housekeeping uses it.
 	memberRowWrittenAt time.Duration
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -147,7 +147,9 @@
 		return
 	}
 	for c.Err() == nil {
-		if _, err = e.Store.Transact(c, t); err == nil {
+		var r store.Result
+		if r, err = e.Store.Transact(c, t); err == nil {
+			e.memberRowVersion.Store(int64(r.Version))
 			return
 		}
 		e.log.Warn("could not write member row, retrying", zap.Error(err))
@@ -155,18 +157,26 @@
 	}
 }
 
-// restoreMemberRow writes the member row of this instance again if the store has lost it.
+// restoreMemberRow writes the member row of this instance again if the store has lost it: the local
+// copy is complete up to the version at which the row was written, and lacks the row.
 func (e *Entry) restoreMemberRow(c context.Context, now time.Duration) {
-	r, ok := e.feeds[ownership.FleetTable].Mirror.Get(memberPrefix + e.Name)
-	if !ok || !r.Removed || e.leaving.Load() || now-e.memberRowWrittenAt < memberRowInterval {
+	m, written := e.feeds[ownership.FleetTable].Mirror, mirror.Version(e.memberRowVersion.Load())
+	if written == 0 || m.Version() < written || e.leaving.Load() || now-e.memberRowWrittenAt < memberRowInterval {
+		return
+	}
+	if r, ok := m.Get(memberPrefix + e.Name); ok && !r.Removed {
 		return
 	}
 	e.memberRowWrittenAt = now
 	t, err := e.memberTransaction()
+	var r store.Result
+	if err == nil {
+		r, err = e.Store.Transact(c, t)
+	}
 	if err == nil {
-		_, err = e.Store.Transact(c, t)
+		e.memberRowVersion.Store(int64(r.Version))
 	}
-	e.log.Warn("the store has lost the member row of this instance; written again", zap.Int64("row-version", int64(r.Version)), zap.Error(err))
+	e.log.Warn("the store has lost the member row of this instance; written again", zap.Int64("written-before", int64(written)), zap.Int64("row-version", int64(r.Version)), zap.Error(err))
 }
 
 // memberTransaction returns the transaction that writes the member row of this instance.
