--- a/coordination/ownership/era.go
+++ b/coordination/ownership/era.go
@@ -31,7 +31,7 @@
 // observeEra begins a new era if the store has one. Claims and the lease of the era before do not
 // count any more. The caller holds the lock.
 func (o *Ownership) observeEra() {
-	current, now := max(o.Store.Eras.Current(), 1), o.Timer.Boot()
+	current, now := o.Store.Eras.Current(), o.Timer.Boot()
 	if current == o.era.era {
 		return
 	}
--- a/coordination/ownership/ownership.go
+++ b/coordination/ownership/ownership.go
@@ -194,7 +194,7 @@
 
 // leaseValid reports whether orders may be given under the lease. A lease of another era is void.
 func (o *Ownership) leaseValid(now time.Duration) bool {
-	return o.leaseUnexpired(now) && o.lease.Era() == max(o.Store.Eras.Current(), 1)
+	return o.leaseUnexpired(now) && o.lease.Era() == o.Store.Eras.Current()
 }
 
 func (o *Ownership) leaseUnexpired(now time.Duration) bool {
--- a/standin/memory/memory.go
+++ b/standin/memory/memory.go
@@ -55,7 +55,7 @@
 	return &store.Store{
 		Eras: e,
 		Transact: func(c context.Context, t store.Transaction) (store.Result, error) {
-			before := e.Current()
+			known, before := e.Known(), e.Current()
 			if err := t.CheckEra(before); err != nil {
 				return store.Result{}, err
 			}
@@ -68,7 +68,7 @@
 			if err != nil {
 				return r, err
 			}
-			if e.Observe(s.Era()) != before && before != 0 && len(t.Expected) > 0 {
+			if e.Observe(s.Era()) != before && known && len(t.Expected) > 0 {
 				return store.Result{}, store.ErrRestored
 			}
 			r.Version = pack(r.Version)
@@ -89,7 +89,7 @@
 			return packRows(l), pack(v), nil
 		},
 		Watch: func(c context.Context, table string, after mirror.Version) ([]mirror.Row, mirror.Version, error) {
-			if after.Era() != max(e.Current(), 1) {
+			if after.Era() != e.Current() {
 				return nil, 0, store.ErrRestored
 			}
 			l, v, err := raw.Watch(c, table, mirror.Version(after.Counter()))
--- a/state/pool/pool.go
+++ b/state/pool/pool.go
@@ -134,17 +134,12 @@
 // upstreams that have stopped expire sooner.
 func (p *Pool) PutUnconfirmed(u Upstream, now, until time.Duration) {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	e, ok := p.entries[u.ID]
 	gone := ok && e.StartedAt == u.StartedAt && e.removedAt != 0 && now >= e.removedAt
-	p.mu.Unlock()
-	p.Put(u)
-	if !gone {
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if e, ok := p.entries[u.ID]; ok {
-		e.unconfirmedUntil = until
+	p.put(u)
+	if gone {
+		p.entries[u.ID].unconfirmedUntil = until
 	}
 }
 
@@ -154,6 +149,10 @@
 func (p *Pool) Put(u Upstream) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.put(u)
+}
+
+func (p *Pool) put(u Upstream) {
 	e, ok := p.entries[u.ID]
 	if !ok || e.StartedAt != u.StartedAt || e.Address != u.Address {
 		n := &entry{Upstream: u, tag: u.ID.Tag(), loaded: map[Tag]LoadedAdapter{}, local: map[Tag]*Usage{}, running: map[Tag]int{}, latencyRatio: 1}
--- a/transport/store/store.go
+++ b/transport/store/store.go
@@ -42,7 +42,7 @@
 // CheckEra fails with ErrRestored if a transaction has a condition on a version of another era.
 func (t Transaction) CheckEra(current mirror.Era) error {
 	for k, v := range t.Expected {
-		if v != 0 && v.Era() != max(current, 1) {
+		if v != 0 && v.Era() != current {
 			return eris.Wrapf(ErrRestored, "row %s/%s of era %d", k.Table, k.Key, v.Era())
 		}
 	}
@@ -110,11 +110,18 @@
 	return c
 }
 
-// Current returns the newest known era, or 0 if none is known.
+// Current returns the newest known era, or the first one if none is known.
 func (x *Eras) Current() mirror.Era {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.current
+	return max(x.current, 1)
+}
+
+// Known reports whether any era is known.
+func (x *Eras) Known() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.current != 0
 }
 
 // Observe records an era that the store or another instance has stated. It returns the newest
