--- a/coordination/feed/feed.go
+++ b/coordination/feed/feed.go
@@ -163,15 +163,9 @@
 	return rows, v, err
 }
 
-// ApplyFromPeer applies rows that another instance has read, complete up to a version.
-// SettlesIn is the value of that instance.
-func (f *Feed) ApplyFromPeer(rows []mirror.Row, upTo mirror.Version, settlesIn time.Duration) {
-	f.Apply(rows, upTo, func(l []mirror.Row) { f.OnChange(l, f.PeerSettlesIn(settlesIn)) })
-}
-
 // PeerSettlesIn returns the time during which a row that is missing from the rows of another
-// instance may still reappear. That instance may not have read the store itself, and so may not
-// have waited since the store came back from a copy.
+// instance may still reappear. SettlesIn is the value of that instance, which may not have waited
+// since the store came back from a copy.
 func (f *Feed) PeerSettlesIn(settlesIn time.Duration) time.Duration {
 	return max(settlesIn, f.Contact().RestoreSettlesIn(f.timer.Boot()))
 }
--- a/coordination/feed/feed_test.go
+++ b/coordination/feed/feed_test.go
@@ -50,6 +50,11 @@
 	return b
 }
 
+// applyFromPeer applies rows of an instance that states that missing ones are gone for good.
+func applyFromPeer(f *feed.Feed, rows []mirror.Row, upTo mirror.Version) {
+	f.Apply(rows, upTo, func(l []mirror.Row) { f.OnChange(l, f.PeerSettlesIn(0)) })
+}
+
 func (b *fixture) start() {
 	c, cancel := context.WithCancel(b.t.Context())
 	b.t.Cleanup(cancel)
@@ -137,7 +142,7 @@
 	apply := func(v mirror.Version) chan struct{} {
 		done := make(chan struct{})
 		go func() {
-			f.ApplyFromPeer([]mirror.Row{{Key: "k", Version: v}}, v, 0)
+			applyFromPeer(f, []mirror.Row{{Key: "k", Version: v}}, v)
 			close(done)
 		}()
 		return done
@@ -252,10 +257,10 @@
 	var settlesIn []time.Duration
 	f := feed.New("t", memory.New().Client(), timer.New(), zap.NewNop(), func(_ []mirror.Row, d time.Duration) { settlesIn = append(settlesIn, d) })
 	row := func(key string, v mirror.Version) mirror.Row { return mirror.Row{Key: key, Version: v} }
-	f.ApplyFromPeer([]mirror.Row{row("a", 7), row("b", 7)}, 7, 0)
+	applyFromPeer(f, []mirror.Row{row("a", 7), row("b", 7)}, 7)
 	copied := mirror.NewVersion(2, 5)
 	f.Replace([]mirror.Row{row("a", copied)}, copied, func([]mirror.Row) { settlesIn = append(settlesIn, f.PeerSettlesIn(0)) })
-	f.ApplyFromPeer([]mirror.Row{{Key: "a", Version: copied + 1, Removed: true}}, copied+1, 0)
+	applyFromPeer(f, []mirror.Row{{Key: "a", Version: copied + 1, Removed: true}}, copied+1)
 	if len(settlesIn) != 3 || settlesIn[0] != 0 || settlesIn[1] <= 0 || settlesIn[2] <= 0 {
 		t.Errorf("rows settle in %v, want none at first and some after the drill", settlesIn)
 	}
--- a/entry/row_sync.go
+++ b/entry/row_sync.go
@@ -156,49 +156,46 @@
 	if err != nil {
 		return err
 	}
-	if x := mirror.Version(r.Version).Era(); x > e.tableVersion(table).Era() {
-		return e.fetchTable(c, m, table, x)
+	v := mirror.Version(r.Version)
+	if v.Era() > e.tableVersion(table).Era() {
+		// The store has come back from a copy. Rows that it does not have must not stay.
+		e.Store.Eras.Observe(v.Era())
+		return e.fetchTable(c, m, table)
 	}
-	if table != e.Tables.Upstreams {
-		f.ApplyFromPeer(r.mirrorRows(), mirror.Version(r.Version), r.settlesIn())
-		e.onPeerRows(table)
-		return nil
-	}
-	apply := func(rows []mirror.Row) { e.applyUpstreams(rows, r.since(), f.PeerSettlesIn(r.settlesIn())) }
-	f.Apply(r.mirrorRows(), mirror.Version(r.Version), apply)
-	if e.listings.AdvanceIfEqual(mirror.Version(r.Version), r.Digest) {
-		e.onPeerRows(table)
-		return nil
-	}
-	e.log.Info("copies of the table differ; reading all rows", zap.String("table", table), zap.String("from", m.peer.String()))
-	if r, err = e.requestRows(c, m, table, 0); err != nil {
-		return err
+	f.Apply(r.mirrorRows(), v, func(l []mirror.Row) { e.applyPeerRows(table, l, r) })
+	if table == e.Tables.Upstreams && !e.listings.AdvanceIfEqual(v, r.Digest) {
+		e.log.Info("copies of the table differ; reading all rows", zap.String("table", table), zap.String("from", m.peer.String()))
+		return e.fetchTable(c, m, table)
 	}
-	f.Replace(r.mirrorRows(), mirror.Version(r.Version), apply)
-	e.listings.AdvanceTo(mirror.Version(r.Version))
 	e.onPeerRows(table)
 	return nil
 }
 
-// fetchTable fetches all rows of a table after the store has come back from a copy. Rows that the
-// copy does not have, and that only this instance has, must not stay.
-func (e *Entry) fetchTable(c context.Context, m member, table string, era mirror.Era) error {
-	e.Store.Eras.Observe(era)
+// fetchTable fetches all rows of a table from an instance, and replaces those that this one has.
+func (e *Entry) fetchTable(c context.Context, m member, table string) error {
 	r, err := e.requestRows(c, m, table, 0)
 	if err != nil {
 		return err
 	}
-	f, v := e.feeds[table], mirror.Version(r.Version)
-	if table != e.Tables.Upstreams {
-		f.Replace(r.mirrorRows(), v, func(l []mirror.Row) { f.OnChange(l, f.PeerSettlesIn(r.settlesIn())) })
-	} else {
-		f.Replace(r.mirrorRows(), v, func(l []mirror.Row) { e.applyUpstreams(l, r.since(), f.PeerSettlesIn(r.settlesIn())) })
+	v := mirror.Version(r.Version)
+	e.feeds[table].Replace(r.mirrorRows(), v, func(l []mirror.Row) { e.applyPeerRows(table, l, r) })
+	if table == e.Tables.Upstreams {
 		e.listings.AdvanceTo(v)
 	}
 	e.onPeerRows(table)
 	return nil
 }
 
+// applyPeerRows applies changed rows of a reply of another instance.
+func (e *Entry) applyPeerRows(table string, rows []mirror.Row, r *rowsReply) {
+	f := e.feeds[table]
+	if d := f.PeerSettlesIn(r.settlesIn()); table == e.Tables.Upstreams {
+		e.applyUpstreams(rows, r.since(), d)
+	} else {
+		f.OnChange(rows, d)
+	}
+}
+
 // requestRows requests the rows of a table that are newer than a version.
 func (e *Entry) requestRows(c context.Context, m member, table string, after mirror.Version) (*rowsReply, error) {
 	x, cancel := context.WithTimeout(c, rowsCallTimeout)
