suspect, dispatch: hash a whole request only once a crash is known; encode announcements once

No change of behaviour: every request was hashed whole on arrival, and the registry of the own interface decoded each announcement to send it and encoded it again on receipt.

--- a/coordination/suspect/fleet.go
+++ b/coordination/suspect/fleet.go
@@ -51,30 +51,23 @@
 // NewFleetRegistry returns an empty registry.
 func NewFleetRegistry(s FleetServices) *FleetRegistry {
 	r := &FleetRegistry{services: s}
-	r.Registry = New(1, Services{Timer: s.Timer, Log: s.Log, Announce: r.announce, Store: r.store, Recorder: s.Recorder})
+	r.Registry = New(1, Services{Timer: s.Timer, Log: s.Log, Store: r.store, Recorder: s.Recorder})
+	r.announce = r.call
 	mesh.Handle(s.Mesh, announceMethod, func(_ context.Context, from string, q *announcement) (*announcementReply, error) {
-		data, err := mesh.Marshal(q)
-		if err == nil {
-			r.Apply(from, data)
-		}
-		return &announcementReply{}, err
+		r.apply(from, q)
+		return &announcementReply{}, nil
 	})
 	return r
 }
 
-// announce sends an announcement to all peers in parallel, and waits for them.
-func (r *FleetRegistry) announce(c context.Context, data []byte) {
-	var q announcement
-	if err := mesh.Unmarshal(data, &q); err != nil {
-		r.Log.Error("failed to decode own announcement", zap.Error(err))
-		return
-	}
+// call sends an announcement to all peers in parallel, and waits for them.
+func (r *FleetRegistry) call(c context.Context, q *announcement) {
 	x, cancel := context.WithTimeout(context.WithoutCancel(c), announceTimeout)
 	defer cancel()
 	var w sync.WaitGroup
 	for _, m := range r.services.Fleet.Peers() {
 		w.Go(func() {
-			if _, err := mesh.Call[announcement, announcementReply](x, r.services.Mesh, m.Mesh, announceMethod, &q); err != nil {
+			if _, err := mesh.Call[announcement, announcementReply](x, r.services.Mesh, m.Mesh, announceMethod, q); err != nil {
 				r.Log.Info("announcement not delivered", zap.String("to", m.Mesh), zap.Error(err))
 			}
 		})
--- a/coordination/suspect/suspect.go
+++ b/coordination/suspect/suspect.go
@@ -34,7 +34,8 @@
 type Services struct {
 	Timer *timer.Service
 	Log   *zap.Logger
-	// Announce sends an encoded announcement to all other instances. It may be lost.
+	// Announce sends an encoded announcement to all other instances. It may be lost. FleetRegistry
+	// makes calls instead.
 	Announce func(c context.Context, data []byte)
 	// OnCrash is called with each new crash, of this instance or another. Nil ignores it.
 	OnCrash func(x suspicion.Crash)
@@ -50,8 +51,10 @@
 // use.
 type Registry struct {
 	Services
-	ledger *suspicion.Ledger
-	mu     sync.Mutex
+	// announce sends an announcement to all other instances. It may be lost.
+	announce func(c context.Context, m *announcement)
+	ledger   *suspicion.Ledger
+	mu       sync.Mutex
 	// crashes and sound are what this instance has observed lately.
 	crashes []ownCrash
 	sound   []ownSound
@@ -70,7 +73,9 @@
 // New returns an empty registry, in which a part is suspected after a number of crashes.
 func New(suspectAfter int, s Services) *Registry {
 	s.Log = s.Log.Named("suspect")
-	return &Registry{Services: s, ledger: suspicion.NewLedger(suspectAfter)}
+	r := &Registry{Services: s, ledger: suspicion.NewLedger(suspectAfter)}
+	r.announce = r.encodeAndAnnounce
+	return r
 }
 
 // Status returns the status of a request with some parts and, if it is suspected, the part that
@@ -79,6 +84,11 @@
 	return r.ledger.Status(parts, r.Timer.Boot())
 }
 
+// Quiet reports whether neither a crash nor a verdict is known, so that every request is clean.
+func (r *Registry) Quiet() bool {
+	return r.ledger.Quiet()
+}
+
 // RecordCrash records that the process of an upstream ended before it had answered a request with
 // some parts, and tells all instances. Trial is set if the request was sent although it was
 // suspected, without another such request beside it. It returns the new status of the request.
@@ -89,7 +99,7 @@
 		r.mu.Lock()
 		r.crashes = append(r.crashes, ownCrash{Evidence: e, at: now})
 		r.mu.Unlock()
-		r.send(c, &announcement{Crashes: []*crashMessage{encodeCrash(e)}})
+		r.announce(c, &announcement{Crashes: []*crashMessage{encodeCrash(e)}})
 	}
 	if trial {
 		r.decide(c, x, parts)
@@ -110,7 +120,7 @@
 	}
 	r.logVerdict("blocked", v, "this instance")
 	r.record(timeline.Blocked, x, v.Lead)
-	r.send(c, &announcement{Verdicts: []*verdictMessage{encodeVerdict(v)}})
+	r.announce(c, &announcement{Verdicts: []*verdictMessage{encodeVerdict(v)}})
 	if r.Store != nil {
 		r.Store(c, v)
 	}
@@ -136,7 +146,7 @@
 	}
 	r.Log.Info("parts cleared", zap.Stringers("parts", cleared))
 	r.record(timeline.Cleared, suspicion.Crash{}, cleared[0])
-	r.send(c, &announcement{Sound: encodeParts(cleared)})
+	r.announce(c, &announcement{Sound: encodeParts(cleared)})
 }
 
 func (r *Registry) addCrash(e suspicion.Evidence, from string) bool {
@@ -164,7 +174,7 @@
 	r.Log.Warn(text, zap.String("upstream", v.Upstream), zap.Int64("born", v.StartedAt), zap.Stringer("lead", v.Lead), zap.Stringers("parts", v.Parts), zap.String("from", from))
 }
 
-func (r *Registry) send(c context.Context, m *announcement) {
+func (r *Registry) encodeAndAnnounce(c context.Context, m *announcement) {
 	data, err := mesh.Marshal(m)
 	if err != nil {
 		r.Log.Error("failed to encode announcement", zap.Error(err))
@@ -173,13 +183,17 @@
 	r.Announce(c, data)
 }
 
-// Apply applies an announcement of another instance.
+// Apply applies an encoded announcement of another instance.
 func (r *Registry) Apply(from string, data []byte) {
 	var m announcement
 	if err := mesh.Unmarshal(data, &m); err != nil {
 		r.Log.Warn("failed to decode announcement", zap.String("from", from), zap.Int("bytes", len(data)), zap.Error(err))
 		return
 	}
+	r.apply(from, &m)
+}
+
+func (r *Registry) apply(from string, m *announcement) {
 	for _, x := range m.Crashes {
 		r.addCrash(x.evidence(), from)
 	}
--- a/protocol/dispatch/admit.go
+++ b/protocol/dispatch/admit.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"slices"
 	"time"
 
 	"gentiangauge.example/gentiangauge/refusal"
@@ -64,7 +63,6 @@
 	if err := d.checkStopTime(j); err != nil {
 		return j, err
 	}
-	j.parts = append(slices.Clone(q.Parts), requestPart(q))
 	if err := d.checkBlocked(j); err != nil {
 		return j, err
 	}
--- a/protocol/dispatch/crash.go
+++ b/protocol/dispatch/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -24,6 +25,24 @@
 	trialRetryAfter = 400 * time.Millisecond
 )
 
+// parts returns the parts of a request that may crash an upstream: those of its prompt and the
+// request itself, which is hashed only if that is needed.
+func (j *job) parts() []suspicion.Part {
+	if j.knownParts == nil {
+		j.knownParts = append(slices.Clone(j.Parts), requestPart(j.Request))
+	}
+	return j.knownParts
+}
+
+// status returns the status of a request and, if it is suspected, the part that has crashed the
+// most upstreams.
+func (d *Dispatcher) status(j *job) (suspicion.Status, suspicion.Part) {
+	if d.Suspects.Quiet() {
+		return suspicion.Clean, 0
+	}
+	return d.Suspects.Status(j.parts())
+}
+
 // requestPart returns the part that stands for a whole request. The request ID is left out: the
 // same request comes again under another one.
 func requestPart(q *Request) suspicion.Part {
@@ -33,7 +52,7 @@
 // checkBlocked refuses a request that crashes the upstreams that run it. The refusal is final:
 // the request must not come back.
 func (d *Dispatcher) checkBlocked(j *job) error {
-	if s, _ := d.Suspects.Status(j.parts); s != suspicion.Blocked {
+	if s, _ := d.status(j); s != suspicion.Blocked {
 		return nil
 	}
 	return blockedRefusal()
@@ -48,7 +67,7 @@
 func (d *Dispatcher) awaitTrial(c context.Context, j *job) error {
 	since := d.Timer.Boot()
 	for {
-		switch s, p := d.Suspects.Status(j.parts); {
+		switch s, p := d.status(j); {
 		case s == suspicion.Clean:
 			return nil
 		case s == suspicion.Blocked:
@@ -78,7 +97,9 @@
 func (d *Dispatcher) recordSound(c context.Context, j *job) {
 	if !j.sound {
 		j.sound = true
-		d.Suspects.RecordSound(c, j.parts)
+		if !d.Suspects.Quiet() {
+			d.Suspects.RecordSound(c, j.parts())
+		}
 	}
 }
 
@@ -92,11 +113,11 @@
 	planned := v == pool.Leaving || v == pool.Removed
 	d.Metrics.countBreak(ended)
 	d.Log.Info("connection broke during request", zap.String("request", j.ID), zap.String("upstream", string(u.ID)), zap.Int64("born", u.StartedAt),
-		zap.Bool("ended", ended), zap.Bool("planned", planned), zap.String("way", j.sentAs), zap.Int("events", j.events), zap.Bool("trial", j.trial != 0), zap.Stringers("parts", j.parts))
+		zap.Bool("ended", ended), zap.Bool("planned", planned), zap.String("way", j.sentAs), zap.Int("events", j.events), zap.Bool("trial", j.trial != 0), zap.Stringers("parts", j.parts()))
 	if !ended || planned {
 		return
 	}
-	parts := j.parts
+	parts := j.parts()
 	if j.sound {
 		parts = nil
 	}
--- a/protocol/dispatch/dispatch.go
+++ b/protocol/dispatch/dispatch.go
@@ -212,8 +212,8 @@
 	choice pool.Choice
 	// permitted is set if the present send has taken a permit for a limited upstream.
 	permitted bool
-	// parts are the parts that may crash an upstream: those of the prompt and the request itself.
-	parts []suspicion.Part
+	// knownParts is the result of parts.
+	knownParts []suspicion.Part
 	// trial is the suspected part for whose trial the present send was granted, or 0.
 	trial suspicion.Part
 	// sound is set once the present send has shown that its parts do not crash the upstream.
--- a/state/suspicion/ledger.go
+++ b/state/suspicion/ledger.go
@@ -178,9 +178,6 @@
 func (l *Ledger) Status(parts []Part, now time.Duration) (Status, Part) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.crashes)+len(l.verdicts) == 0 {
-		return Clean, 0
-	}
 	blocked := false
 	for _, v := range l.verdicts {
 		if v.blocks(func(p Part) bool { return slices.Contains(parts, p) }) {
@@ -196,6 +193,13 @@
 	return Clean, 0
 }
 
+// Quiet reports whether neither a crash nor a verdict is known.
+func (l *Ledger) Quiet() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.crashes)+len(l.verdicts) == 0
+}
+
 // blocks reports whether a verdict has parts and contains returns true for all of them.
 func (v *verdict) blocks(contains func(p Part) bool) bool {
 	return len(v.parts) > 0 && !slices.ContainsFunc(v.parts, func(p Part) bool { return !contains(p) })
