pool: no instance sends to a process that another one has found to have ended

Change: a crash that any instance reports keeps the others away from that process for 2 s, as long as its row takes to name the next one or to expire. A new process is used at once.

Ruled out: extending the time by later reports of the same crash, which may come 3 s late.

--- a/coordination/suspect/suspect_test.go
+++ b/coordination/suspect/suspect_test.go
@@ -119,3 +119,15 @@
 		t.Errorf("%d bytes are repeated", n)
 	}
 }
+
+// Each instance hears of an upstream that has ended, so that it need not find out by a connection
+// of its own.
+func TestCrashIsReportedAtEachInstance(t *testing.T) {
+	f := newFleet()
+	var heard []suspicion.Crash
+	f.second.OnCrash = func(x suspicion.Crash) { heard = append(heard, x) }
+	f.crash(1)
+	if len(heard) != 1 || heard[0] != (suspicion.Crash{Upstream: "a", StartedAt: 1}) {
+		t.Errorf("the second instance heard of %v", heard)
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -178,6 +178,7 @@
 	e.suspects = suspect.New(suspectAfter, suspect.Services{
 		Timer: t, Log: log, Recorder: recorder,
 		Announce: func(_ context.Context, data []byte) { e.gossip.SendSuspicions(data) },
+		OnCrash:  func(x suspicion.Crash) { e.pool.MarkEnded(pool.ID(x.Upstream), x.StartedAt, t.Boot()) },
 	})
 	e.suspects.Metrics = suspect.NewMetrics(r, e.suspects.Verdicts)
 	e.versionGrace.Store(int64(k.VersionGrace))
--- a/state/pool/choose.go
+++ b/state/pool/choose.go
@@ -123,10 +123,10 @@
 	return e.firstEvent(r, e.totalUsage(now))
 }
 
-// usable reports whether the upstream admits requests, is not backing off and has the
-// base model.
+// usable reports whether the upstream admits requests, has neither ended nor is backing off, and
+// has the base model.
 func (e *entry) usable(r Request, now time.Duration) bool {
-	if !e.verdict(now).Available() || now < e.health.backoffUntil {
+	if !e.verdict(now).Available() || now < max(e.health.backoffUntil, e.health.endedUntil) {
 		return false
 	}
 	if r.Engine == nil {
--- a/state/pool/health.go
+++ b/state/pool/health.go
@@ -11,6 +11,8 @@
 	failureRate float64
 	// backoffUntil is the instant until which the upstream gets no requests.
 	backoffUntil time.Duration
+	// endedUntil is the instant until which the process counts as ended, or 0.
+	endedUntil time.Duration
 	// connectFailures counts consecutive failures to connect.
 	connectFailures int
 }
@@ -23,6 +25,9 @@
 	// it doubles with each failure.
 	minBackoff = 250 * time.Millisecond
 	maxBackoff = 2 * time.Second
+	// endedTime is how long a process that an instance has found to have ended is not used. A new
+	// process has another start time, and the row of an ended one expires soon after.
+	endedTime = 2 * time.Second
 )
 
 // Outcome is the result of a request sent to an upstream.
@@ -36,6 +41,18 @@
 	Busy
 )
 
+// MarkEnded records that an instance has found a process of an upstream to have ended.
+//
+// Load pattern: many instances have requests for an upstream that has just crashed, and each of them
+// would find out by a connection of its own.
+func (p *Pool) MarkEnded(id ID, startedAt int64, now time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if e, ok := p.entries[id]; ok && e.StartedAt == startedAt && e.health.endedUntil == 0 {
+		e.health.endedUntil = now + endedTime
+	}
+}
+
 // RecordOutcome updates the health of an upstream with the outcome of a request.
 func (p *Pool) RecordOutcome(id ID, o Outcome, now time.Duration) {
 	p.mu.Lock()
--- a/state/pool/pool_test.go
+++ b/state/pool/pool_test.go
@@ -293,3 +293,49 @@
 		t.Errorf("%v, resumes in %v", v, d)
 	}
 }
+
+// An instance has found an upstream's process to have ended. The others do not send to it, whatever
+// they still hear of the process later, until it has started again.
+func TestEndedProcessIsNotUsed(t *testing.T) {
+	p := engines(2)
+	setLoaded(p, "e0", a1)
+	p.MarkEnded("e0", 7, now)
+	if id := choose(t, p, request(a1)).ID; id != "e0" {
+		t.Errorf("%s is chosen after the end of another process", id)
+	}
+	p.MarkEnded("e0", 1, now-time.Second)
+	p.MarkEnded("e0", 1, now)
+	if id := choose(t, p, request(a1)).ID; id != "e1" {
+		t.Errorf("%s is chosen after its process has ended", id)
+	}
+	later := now + 1500*time.Millisecond
+	if c, ok := p.Choose(request(a1), later); !ok || c.ID != "e0" {
+		t.Errorf("%s is chosen 2.5 s after the end, %v", c.ID, ok)
+	}
+	p.MarkEnded("e1", 1, now)
+	u := engine("e1")
+	u.StartedAt = 2
+	p.Put(u)
+	setLoaded(p, "e1", a2)
+	if id := choose(t, p, request(a2)).ID; id != "e1" {
+		t.Errorf("%s is chosen, want the new process of e1", id)
+	}
+}
+
+// An upstream had been removed as an old copy of the store lists it again. It is used only once its
+// row has outlasted the rows of ended upstreams; one that was not removed is used at once.
+func TestUnconfirmedUpstreamIsUsedLater(t *testing.T) {
+	p := engines(1)
+	p.PutUnconfirmed(engine("e0"), now, now+time.Second)
+	choose(t, p, request(a1))
+	p.Remove("e0", now-time.Second)
+	p.PutUnconfirmed(engine("e0"), now, now+time.Second)
+	p.PutUnconfirmed(engine("e0"), now, now+time.Second)
+	p.Put(engine("e0"))
+	if c, ok := p.Choose(request(a1), now); ok {
+		t.Errorf("%s is chosen before its row is confirmed", c.ID)
+	}
+	if _, ok := p.Choose(request(a1), now+time.Second); !ok {
+		t.Error("no upstream is chosen after its row was confirmed")
+	}
+}
