fleet, placement: reach the owner of an engine through another member

Cause: reservations of plans were passed on by a third member, uses of engines, permits and the checks of both were not; and an owner that is silent here was left alone although it keeps its engines as long as the others hear it.

Change: members tell in their answers to pings which others they do not hear. Calls to a member go directly or, if it is silent or cannot be reached, through one that hears it. Each attempt to get a use has a use of its own, since the owner may get more than one of them.

Ruled out: repeating a use under its id, as the end of the first call would end the second.

--- a/coordination/fleet/fleet.go
+++ b/coordination/fleet/fleet.go
@@ -65,6 +65,8 @@
 	serving      bool
 	pinging      map[lease.SeatID]bool
 	pullingLists bool
+	// silenceReports has the last report of each peer.
+	silenceReports map[lease.SeatID]silenceReport
 }
 
 const (
@@ -90,6 +92,8 @@
 		state:         lease.New(c.Lease),
 		latestHolders: map[lease.SeatID]lease.Member{},
 		pinging:       map[lease.SeatID]bool{},
+
+		silenceReports: map[lease.SeatID]silenceReport{},
 	}
 	f.register()
 	return f
--- a/coordination/fleet/ping.go
+++ b/coordination/fleet/ping.go
@@ -45,6 +45,8 @@
 	Version  int64    `protobuf:"varint,4,opt,name=version,proto3"`
 	Confirms bool     `protobuf:"varint,5,opt,name=confirms,proto3"`
 	Denies   []string `protobuf:"bytes,6,rep,name=denies,proto3"`
+	// Silent are the members that the sender does not hear.
+	Silent []string `protobuf:"bytes,7,rep,name=silent,proto3"`
 }
 
 type rosterQuery struct {
@@ -146,6 +148,7 @@
 	}
 	if r.Seated && r.Seat == string(m.Seat) {
 		f.withState(func(s *lease.State, now time.Time) { s.RecordReply(fromReply(r), at, now) })
+		f.recordSilence(m.Seat, r.Silent, at)
 	}
 	f.catchUp(c, m.Mesh, lease.Epoch(r.Epoch), lists.Version(r.Version))
 }
@@ -178,6 +181,9 @@
 		r.Seated = true
 		r.Seat = string(a.Seat)
 		r.Confirms = a.Confirms
+		for _, x := range s.Silent(now) {
+			r.Silent = append(r.Silent, string(x))
+		}
 		for _, d := range a.Denies {
 			r.Denies = append(r.Denies, string(d))
 		}
--- a/coordination/placement/client.go
+++ b/coordination/placement/client.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"gentiangauge.example/gentiangauge/coordination/fleet"
 	"gentiangauge.example/gentiangauge/coordination/lease"
 	"gentiangauge.example/gentiangauge/state/adapter"
 	"gentiangauge.example/gentiangauge/state/lists"
@@ -83,16 +84,28 @@
 	c, cancel := context.WithCancel(c)
 	defer cancel()
 	go p.cancelOnOwnerChange(c, cancel, id, m.Seat)
+	for _, w := range p.Fleet.Routes(m) {
+		u, r, err := p.acquireBy(c, q, id, w)
+		if err == nil || c.Err() != nil {
+			return u, r, err
+		}
+	}
+	return adapter.Use{}, adapter.Busy, mesh.ErrUnreachable
+}
+
+// acquireBy requests a use from the owner of an upstream by one way. Each way has a use of its own,
+// since the owner may get more than one of the calls.
+func (p *Placement) acquireBy(c context.Context, q Request, id adapter.UpstreamID, w fleet.Route) (adapter.Use, adapter.Result, error) {
 	use := adapter.Use{
 		ID: adapter.UseID(fmt.Sprintf("%s/%d", q.RequestID, p.sequence.Add(1))), Upstream: id, Adapter: q.Adapter,
 		Workspace: q.Workspace, Exclusive: q.Exclusive, Holder: adapter.Holder(p.Fleet.Self()),
 	}
 	p.addUse(use)
-	u, r, err := p.callOwner(c, m, use, q.Tokens)
+	u, r, err := p.callOwner(c, w, use, q.Tokens)
 	if err != nil || r != adapter.Granted {
 		p.removeUse(use.ID)
 		if err != nil {
-			p.releaseAtOwner(m, use, false)
+			p.releaseAtOwner(w.To, use, false)
 		}
 		return adapter.Use{}, r, err
 	}
@@ -101,11 +114,11 @@
 	return u, r, nil
 }
 
-// liveOwner returns the owner of an upstream. It returns false if there is none or if it
-// has not answered within one lease.
+// liveOwner returns the owner of an upstream. It returns false if there is none, or if neither
+// this instance nor one that it hears has had an answer of the owner within one lease.
 func (p *Placement) liveOwner(id adapter.UpstreamID) (lease.Member, bool) {
 	m, ok := p.Fleet.Owner(OwnershipName(id))
-	return m, ok && !slices.Contains(p.Fleet.Silent(), m.Seat)
+	return m, ok && p.Fleet.Reachable(m.Seat)
 }
 
 // cancelOnOwnerChange cancels a call to an owner that no longer answers or was replaced,
@@ -118,12 +131,12 @@
 	})
 }
 
-func (p *Placement) callOwner(c context.Context, m lease.Member, use adapter.Use, tokens lists.Tokens) (adapter.Use, adapter.Result, error) {
-	if m.Seat == p.Fleet.Self() {
+func (p *Placement) callOwner(c context.Context, w fleet.Route, use adapter.Use, tokens lists.Tokens) (adapter.Use, adapter.Result, error) {
+	if w.To.Seat == p.Fleet.Self() {
 		o, err := p.acquireLocal(c, use, tokens)
 		return o.Use, o.Result, err
 	}
-	r, err := mesh.Call[acquireQuery, acquireReply](c, p.Mesh, m.Mesh, acquireMethod, &acquireQuery{Use: toMessage(use), Tokens: int64(tokens)})
+	r, err := fleet.CallBy[acquireQuery, acquireReply](c, p.Fleet, w, acquireMethod, &acquireQuery{Use: toMessage(use), Tokens: int64(tokens)})
 	if err != nil {
 		return adapter.Use{}, adapter.Busy, err
 	}
@@ -154,7 +167,7 @@
 			return
 		}
 		q := &releaseQuery{Upstream: string(u.Upstream), ID: string(u.ID), Failed: failed}
-		_, _ = mesh.Call[releaseQuery, releaseReply](x, p.Mesh, m.Mesh, releaseMethod, q)
+		_, _ = fleet.Call[releaseQuery, releaseReply](x, p.Fleet, m, releaseMethod, q)
 	}()
 }
 
--- a/coordination/placement/permits.go
+++ b/coordination/placement/permits.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"gentiangauge.example/gentiangauge/coordination/fleet"
 	"gentiangauge.example/gentiangauge/coordination/lease"
 	"gentiangauge.example/gentiangauge/state/adapter"
 	"gentiangauge.example/gentiangauge/state/lists"
@@ -171,7 +172,7 @@
 		r, err := p.handlePermitRequest(c, "", q)
 		return err == nil && r.Granted
 	}
-	r, err := mesh.Call[permitQuery, permitReply](c, p.Mesh, m.Mesh, permitMethod, q)
+	r, err := fleet.Call[permitQuery, permitReply](c, p.Fleet, m, permitMethod, q)
 	return err == nil && r.Granted
 }
 
@@ -185,7 +186,7 @@
 	default:
 		x, cancel := context.WithTimeout(c, callTimeout)
 		defer cancel()
-		_, _ = mesh.Call[permitReleaseQuery, releaseReply](x, p.Mesh, m.Mesh, permitReleaseMethod, &permitReleaseQuery{ID: id})
+		_, _ = fleet.Call[permitReleaseQuery, releaseReply](x, p.Fleet, m, permitReleaseMethod, &permitReleaseQuery{ID: id})
 	}
 }
 
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -177,7 +177,7 @@
 	var w sync.WaitGroup
 	for _, m := range peers {
 		w.Go(func() {
-			r, err := mesh.Call[Q, R, PQ, PR](c, p.Mesh, m.Mesh, method, q)
+			r, err := fleet.Call[Q, R, PQ, PR](c, p.Fleet, m, method, q)
 			mu.Lock()
 			defer mu.Unlock()
 			out[m.Seat] = nil
@@ -332,7 +332,7 @@
 		x, cancel := context.WithTimeout(c, callTimeout)
 		defer cancel()
 		var err error
-		r, err = mesh.Call[checkQuery, checkReply](x, p.Mesh, m.Mesh, checkMethod, q)
+		r, err = fleet.Call[checkQuery, checkReply](x, p.Fleet, m, checkMethod, q)
 		if err != nil {
 			return nil, false
 		}
--- a/coordination/placement/recovery.go
+++ b/coordination/placement/recovery.go
@@ -8,11 +8,11 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"gentiangauge.example/gentiangauge/coordination/fleet"
 	"gentiangauge.example/gentiangauge/coordination/lease"
 	"gentiangauge.example/gentiangauge/protocol/engine"
 	"gentiangauge.example/gentiangauge/state/adapter"
 	"gentiangauge.example/gentiangauge/state/timeline"
-	"gentiangauge.example/gentiangauge/transport/mesh"
 	"gentiangauge.example/gentiangauge/transport/provider"
 )
 
@@ -117,7 +117,7 @@
 			continue
 		}
 		x, cancel := context.WithTimeout(c, callTimeout)
-		a, err := mesh.Call[reportQuery, reportReply](x, p.Mesh, m.Mesh, reportMethod, &reportQuery{Upstream: string(id)})
+		a, err := fleet.Call[reportQuery, reportReply](x, p.Fleet, m, reportMethod, &reportQuery{Upstream: string(id)})
 		cancel()
 		if err == nil {
 			p.restoreUses(c, id, seat, a.Uses)
--- a/coordination/quota/client.go
+++ b/coordination/quota/client.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"time"
 
+	"gentiangauge.example/gentiangauge/coordination/fleet"
 	"gentiangauge.example/gentiangauge/coordination/lease"
 	"gentiangauge.example/gentiangauge/ring"
 	"gentiangauge.example/gentiangauge/state/bucket"
@@ -268,10 +268,8 @@
 	c, cancel := context.WithTimeout(c, 2*callTimeout)
 	defer cancel()
 	query := &reserveQuery{Workspace: string(x.workspace), Request: string(x.id), Tokens: int64(x.tokens), Replaces: string(x.replaces)}
-	r, err := mesh.Call[reserveQuery, reserveReply](c, q.Mesh, m.Mesh, reserveMethod, query)
-	if errors.Is(err, mesh.ErrUnreachable) {
-		r, err = q.reserveViaPeers(c, m, query)
-	}
+	// The owner handles a repeated query idempotently.
+	r, err := fleet.Call[reserveQuery, reserveReply](c, q.Fleet, m, reserveMethod, query)
 	switch {
 	case err != nil:
 		return granted, 0, err
@@ -283,24 +281,6 @@
 	return granted, 0, nil
 }
 
-// reserveViaPeers relays the query to the owner through the other members, one after the
-// other. The owner handles a repeated query idempotently.
-func (q *Quota) reserveViaPeers(c context.Context, owner lease.Member, query *reserveQuery) (*reserveReply, error) {
-	silent := q.Fleet.Silent()
-	var r *reserveReply
-	err := error(mesh.ErrUnreachable)
-	for _, via := range q.Fleet.Peers() {
-		if via.Seat == owner.Seat || slices.Contains(silent, via.Seat) {
-			continue
-		}
-		r, err = mesh.CallVia[reserveQuery, reserveReply](c, q.Mesh, via.Mesh, owner.Mesh, reserveMethod, query)
-		if err == nil {
-			return r, nil
-		}
-	}
-	return nil, err
-}
-
 // Settle reports to the owner how many tokens a request used. If the report is lost, the
 // reservation stays charged in full.
 func (q *Quota) Settle(w lists.WorkspaceID, id bucket.RequestID, used lists.Tokens) {
--- a/proof/rate_test.go
+++ b/proof/rate_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"gentiangauge.example/gentiangauge/coordination/placement"
 	"gentiangauge.example/gentiangauge/coordination/quota"
 	"gentiangauge.example/gentiangauge/standin"
 )
@@ -279,6 +280,35 @@
 	}
 }
 
+// The mesh breaks between the owner of the only engine and one other instance. The owner keeps the
+// engine, as it reaches the third instance, and the other one must get uses of it nevertheless, for
+// adapters that are loaded and for new ones.
+func TestCutFromTheOwnerOfTheEngineRefusesNothing(t *testing.T) {
+	w := newHarness(t, options{engines: 1, slots: 4, checksFencing: true})
+	for i := range 3 {
+		w.startInProcess(fmt.Sprintf("instance-%d", i+1))
+	}
+	w.waitReady(w.nodes...)
+	key := w.applyPlans(planSpec{"wide", 100_000, 100_000, []string{"raven@1", "duck@1"}})["wide"]
+	if a := w.sendChat(w.nodes[0], key, "raven", 5); a.status != http.StatusOK {
+		t.Fatal(a.body)
+	}
+	m, ok := w.nodes[0].instance.Fleet.Owner(placement.OwnershipName("engine-1"))
+	if !ok {
+		t.Fatal("the engine has no owner")
+	}
+	i := slices.IndexFunc(w.nodes, func(n *node) bool { return n.name == m.Instance })
+	owner, other := w.nodes[i], w.nodes[(i+1)%len(w.nodes)]
+	setBlocked(owner, other, true)
+	models := []string{"raven", "duck"}
+	for i, end := 0, time.Now().Add(3*leaseTime); time.Now().Before(end); i++ {
+		if a := w.sendChat(other, key, models[i%2], 5); a.status != http.StatusOK {
+			t.Errorf("%s: %d %s", models[i%2], a.status, a.body)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
 // TestAtMostOneInstanceOwnsAnAccount repeatedly checks which instances own an account while
 // the mesh and the table fail and recover at random. Only an instance that owned the account
 // both before and after all were checked counts.
