dispatch, pool: a response of an old adapter version begins before that version expires

Cause: only the time of the send was bounded, by half of the time, not the time until the response begins.

Change: an engine with an older version is chosen only if the response is predicted to begin 0.5 s before the version expires; a send that has not begun by then is cancelled and sent again on the newest version, without blaming the engine. The timer of silent upstreams does both.

Ruled out: a shorter time for sends, which costs loads in each change of versions and does not bound the queue.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -91,9 +91,9 @@
 	PeerAddress  string
 	LoadTiming   orders.LoadTiming
 	Dispatch     dispatch.Settings
-	// VersionGrace is how long the previous version of an adapter may be used after a new one was
-	// announced.
-	VersionGrace time.Duration
+	// VersionTime is the time after the announcement of a new version of an adapter within which
+	// responses of the previous one may begin.
+	VersionTime time.Duration
 	// PlanWindow is the time window over which the usage of a workspace is counted.
 	PlanWindow time.Duration
 }
@@ -120,9 +120,9 @@
 	quota     *quota
 	versions  versions
 	members   members
-	// versionGrace is Config.VersionGrace after reloads.
-	versionGrace atomic.Int64
-	leaving      atomic.Bool
+	// versionTime is Config.VersionTime after reloads.
+	versionTime atomic.Int64
+	leaving     atomic.Bool
 	// stopsAt is the time at which the instance stops, or 0.
 	stopsAt atomic.Int64
 	ctx     context.Context
@@ -181,7 +181,7 @@
 		OnCrash:  func(x suspicion.Crash) { e.pool.MarkEnded(pool.ID(x.Upstream), x.StartedAt, t.Boot()) },
 	})
 	e.suspects.Metrics = suspect.NewMetrics(r, e.suspects.Verdicts)
-	e.versionGrace.Store(int64(k.VersionGrace))
+	e.versionTime.Store(int64(k.VersionTime))
 	e.newFeeds(log)
 	e.registerFreshness(r)
 	e.newServices(r, log)
@@ -260,7 +260,7 @@
 // Reload applies the settings that may change while the instance runs: load times and the limits
 // of retries, loads, versions and plans. The availability zone does not change.
 func (e *Entry) Reload(k Config) {
-	e.versionGrace.Store(int64(k.VersionGrace))
+	e.versionTime.Store(int64(k.VersionTime))
 	e.orders.SetLoadTiming(k.LoadTiming)
 	e.quota.setWindow(k.PlanWindow, e.timer.Boot())
 	k.Dispatch.Zone = e.Zone
--- a/entry/rows.go
+++ b/entry/rows.go
@@ -70,16 +70,25 @@
 	e.log.Info("adapter version announced", zap.String("adapter", string(x.Adapter.Name)), zap.Int64("version", int64(x.Version)))
 }
 
-// adapterVersions returns the newest version of an adapter and the oldest one that may still be
-// used. Both are 0 if no version was announced.
-func (e *Entry) adapterVersions(a pool.Adapter, now time.Duration) (newest, oldest route.Version) {
+// versionMargin is how long before the end of Config.VersionTime the responses of an older version
+// must begin: an instance learns of a version some 0.1 s after it was accepted, and a request that
+// is cancelled may still begin while the engine hears of that.
+const versionMargin = 500 * time.Millisecond
+
+// adapterVersions returns the newest version of an adapter, the oldest one that requests may still
+// be sent to, and the instant by which a response of an older one than the newest must begin. The
+// versions are 0 if none was announced. Requests are sent to the previous version in the first half
+// of Config.VersionTime.
+func (e *Entry) adapterVersions(a pool.Adapter, now time.Duration) (newest, oldest route.Version, oldUntil time.Duration) {
 	e.versions.mu.Lock()
 	defer e.versions.mu.Unlock()
 	s := e.versions.known[a]
-	if now-s.announcedAt < time.Duration(e.versionGrace.Load()) {
-		return s.newest, s.previous
+	limit := time.Duration(e.versionTime.Load())
+	oldUntil = s.announcedAt + limit - versionMargin
+	if now-s.announcedAt < limit/2 {
+		return s.newest, s.previous, oldUntil
 	}
-	return s.newest, s.newest
+	return s.newest, s.newest, oldUntil
 }
 
 // onUpstreamRows applies rows of the list of upstreams that were read from the store. If they
--- a/protocol/dispatch/attempt.go
+++ b/protocol/dispatch/attempt.go
@@ -23,6 +23,9 @@
 // errTryAnother means that sending the request again, to another upstream, may succeed.
 var errTryAnother = eris.New("another upstream may answer")
 
+// errOutdated means that an engine with an older version of the adapter did not begin in time.
+var errOutdated = eris.Wrap(errTryAnother, "the engine did not begin before the older version of the adapter expired")
+
 const (
 	// maxSends bounds the sends of a request, including those that an upstream rejected
 	// without running the request.
@@ -46,7 +49,7 @@
 		if err != nil {
 			return d.finalError(c, j, last, err)
 		}
-		j.choice = h
+		d.setChoice(j, h)
 		if err = d.checkKey(j); err != nil {
 			d.countEnd(j, h.ID)
 			return d.finalError(c, j, last, err)
@@ -78,6 +81,17 @@
 	}
 }
 
+// setChoice records the upstream that was chosen for the next send.
+func (d *Dispatcher) setChoice(j *job, h pool.Choice) {
+	j.choice, j.oldUntil = h, 0
+	if j.Adapter.Name == "" || j.service.Engine == nil {
+		return
+	}
+	if newest, _, until := d.Versions(j.Adapter, d.Timer.Boot()); h.Version < newest {
+		j.oldUntil = until
+	}
+}
+
 // checkKey refuses a request whose key was revoked since it was admitted.
 //
 // Load pattern: a request waits for an adapter or for an unresponsive upstream while the
@@ -138,7 +152,8 @@
 	id := j.choice.ID
 	x, cancel := context.WithCancel(c)
 	defer cancel()
-	stopTimer := d.startSilenceTimer(x, j, cancel)
+	j.outdated.Store(false)
+	stopTimer := d.startFirstPartTimer(x, j, cancel)
 	sent := d.Timer.Boot()
 	d.recordLimitedSend(j)
 	j.sentAs, j.events, j.sound = j.way(), 0, false
@@ -213,34 +228,66 @@
 	return min(max(p, 0), 9)
 }
 
-// startSilenceTimer cancels a send if no part of the response arrives while another
-// upstream could still respond in time and the retry budget allows another send. The
-// returned function stops the timer; it returns false if the send was cancelled before.
+// firstPartLimit is a time within which the first part of a response must arrive. If it has
+// passed, the send is cancelled: in any case, or if the retry budget allows another one.
+type firstPartLimit struct {
+	after       time.Duration
+	needsBudget bool
+}
+
+// firstPartLimits returns the limits for the present send, the first one first.
 //
-// Load pattern: an upstream accepts requests but does not respond.
-func (d *Dispatcher) startSilenceTimer(c context.Context, j *job, cancel context.CancelFunc) func() bool {
-	limit := j.route.Objective*silentFactor + 2*j.choice.FirstEvent
-	if !j.route.Repeatable() || j.started || j.runs+1 >= j.route.MaxAttempts || j.deadline-d.Timer.Boot() < 2*limit {
+// Load patterns: an upstream accepts requests but does not respond, while another one could still
+// respond in time; a request waits in the queue of an engine with an older version of its
+// adapter, until that must not be used any more.
+func (d *Dispatcher) firstPartLimits(j *job) []firstPartLimit {
+	var out []firstPartLimit
+	now := d.Timer.Boot()
+	silent := j.route.Objective*silentFactor + 2*j.choice.FirstEvent
+	if j.route.Repeatable() && !j.started && j.runs+1 < j.route.MaxAttempts && j.deadline-now >= 2*silent {
+		out = append(out, firstPartLimit{after: silent, needsBudget: true})
+	}
+	if j.oldUntil > 0 && now+silent < j.oldUntil {
+		out = append(out, firstPartLimit{after: j.oldUntil - now})
+	} else if j.oldUntil > 0 {
+		out = []firstPartLimit{{after: max(0, j.oldUntil-now)}}
+	}
+	return out
+}
+
+// startFirstPartTimer cancels the present send if no part of the response arrives within its
+// limits. The returned function stops the timer; it returns false if the send was cancelled before.
+func (d *Dispatcher) startFirstPartTimer(c context.Context, j *job, cancel context.CancelFunc) func() bool {
+	limits := d.firstPartLimits(j)
+	if len(limits) == 0 {
 		return func() bool { return true }
 	}
-	n, stop := d.Timer.Notify(limit)
-	done := make(chan struct{})
+	started, done := d.Timer.Boot(), make(chan struct{})
 	// decided is set by whichever comes first: the response or the timeout.
 	var decided atomic.Bool
 	go func() {
-		defer stop()
-		select {
-		case <-n:
-			if !d.Budget.Available(j.retryTag()) {
-				d.Log.Info("no response from upstream within the limit; retry budget is empty, still waiting", zap.String("request", j.ID), zap.String("upstream", string(j.choice.ID)))
+		for _, l := range limits {
+			n, stop := d.Timer.Notify(max(0, started+l.after-d.Timer.Boot()))
+			select {
+			case <-n:
+			case <-done:
+				stop()
+				return
+			case <-c.Done():
+				stop()
 				return
 			}
+			stop()
+			if l.needsBudget && !d.Budget.Available(j.retryTag()) {
+				d.Log.Info("no response from upstream within the limit; retry budget is empty, still waiting", zap.String("request", j.ID), zap.String("upstream", string(j.choice.ID)))
+				continue
+			}
 			if decided.CompareAndSwap(false, true) {
-				d.Log.Info("no response from upstream within the limit; cancelling", zap.String("request", j.ID), zap.String("upstream", string(j.choice.ID)), zap.Duration("limit", limit))
+				j.outdated.Store(!l.needsBudget)
+				d.Log.Info("no response from upstream within the limit; cancelling", zap.String("request", j.ID), zap.String("upstream", string(j.choice.ID)), zap.Duration("limit", l.after), zap.Bool("outdated", !l.needsBudget))
 				cancel()
 			}
-		case <-done:
-		case <-c.Done():
+			return
 		}
 	}()
 	return sync.OnceValue(func() bool {
@@ -256,6 +303,10 @@
 		j.runs++
 		return eris.Wrap(context.Cause(c), "caller disconnected or deadline passed")
 	}
+	if j.outdated.Load() {
+		j.runs++
+		return errOutdated
+	}
 	j.avoid[j.choice.ID] = true
 	d.Pool.RecordOutcome(j.choice.ID, pool.Unreachable, now)
 	d.Log.Info("sending to upstream failed", zap.String("request", j.ID), zap.String("upstream", string(j.choice.ID)), zap.Error(err))
--- a/protocol/dispatch/dispatch.go
+++ b/protocol/dispatch/dispatch.go
@@ -99,9 +99,9 @@
 	Log   *zap.Logger
 	// Table returns the configuration in force, or nil before the first one.
 	Table func() *route.Table
-	// Versions returns the newest version of an adapter and the oldest one
-	// that may still run.
-	Versions func(a pool.Adapter, now time.Duration) (newest, oldest route.Version)
+	// Versions returns the newest version of an adapter, the oldest one that may still be
+	// sent to, and the instant by which a response of an older one than the newest must begin.
+	Versions func(a pool.Adapter, now time.Duration) (newest, oldest route.Version, oldUntil time.Duration)
 	// Charge takes units from the quota of a workspace. It returns a refusal if there
 	// are too few.
 	Charge func(w *route.Workspace, units float64) error
@@ -210,6 +210,10 @@
 	// events is the number of events of the present send that have arrived.
 	events int
 	choice pool.Choice
+	// oldUntil is the instant by which the response to the present send must begin because it
+	// comes from an older version of the adapter, or 0. outdated is set once it has passed.
+	oldUntil time.Duration
+	outdated atomic.Bool
 	// permitted is set if the present send has taken a permit for a limited upstream.
 	permitted bool
 	// knownParts is the result of parts.
--- a/protocol/dispatch/dispatch_test.go
+++ b/protocol/dispatch/dispatch_test.go
@@ -54,6 +54,9 @@
 	suspects     *suspect.Registry
 	// parts are the parts of the prompts that serve sends.
 	parts []suspicion.Part
+	// newest, oldest and oldUntil are the versions of the adapter.
+	newest, oldest route.Version
+	oldUntil       time.Duration
 }
 
 func newHarness(upstreams int) *harness {
@@ -85,9 +88,11 @@
 		RetryRatio: 0.2, RetryBurst: 100,
 	}, dispatch.Services{
 		Timer: b.timer, Pool: b.pool, Log: zap.NewNop(), Table: func() *route.Table { return b.table },
-		Versions: func(pool.Adapter, time.Duration) (newest, oldest route.Version) { return 0, 0 },
-		Charge:   func(_ *route.Workspace, n float64) error { b.charged += n; return nil },
-		Refund:   func(_ *route.Workspace, n float64) { b.charged -= n },
+		Versions: func(pool.Adapter, time.Duration) (newest, oldest route.Version, oldUntil time.Duration) {
+			return b.newest, b.oldest, b.oldUntil
+		},
+		Charge: func(_ *route.Workspace, n float64) error { b.charged += n; return nil },
+		Refund: func(_ *route.Workspace, n float64) { b.charged -= n },
 		Load: func(context.Context, pool.ID, pool.Adapter, route.Version, pool.Usage) (time.Duration, error) {
 			return b.load()
 		},
--- a/protocol/dispatch/forward.go
+++ b/protocol/dispatch/forward.go
@@ -66,6 +66,9 @@
 	if c.Err() != nil {
 		return eris.Wrap(context.Cause(c), "caller disconnected or deadline passed")
 	}
+	if j.outdated.Load() {
+		return errOutdated
+	}
 	d.Pool.RecordOutcome(j.choice.ID, pool.Failed, d.Timer.Boot())
 	j.avoid[j.choice.ID] = true
 	d.recordBreak(c, j)
--- a/protocol/dispatch/place.go
+++ b/protocol/dispatch/place.go
@@ -180,7 +180,7 @@
 		k := d.settings.Load().Capacity
 		k.CacheTokens, k.AdapterSlots = e.CacheTokens, e.AdapterSlots
 		a.Engine = &k
-		a.Version, a.MinVersion = d.Versions(j.Adapter, now)
+		a.Version, a.MinVersion, a.OldUntil = d.Versions(j.Adapter, now)
 	}
 	return a
 }
--- a/state/pool/choose.go
+++ b/state/pool/choose.go
@@ -28,6 +28,9 @@
 	// Version is the newest version of the adapter, MinVersion the oldest one that may
 	// still serve requests.
 	Version, MinVersion route.Version
+	// OldUntil is the instant by which the response must begin if it comes from an older
+	// version than Version.
+	OldUntil time.Duration
 	// PromptTokens and OutputTokens are 0 for plain services.
 	PromptTokens, OutputTokens int
 	Zone                       string
@@ -172,12 +175,16 @@
 
 // adapterCost returns the cost of having the adapter ready and fills in the adapter
 // fields of c.
+//
+// Load pattern: a new version is announced while long queues stand at the engines that hold the
+// previous one, so that what is sent there would begin too late.
 func (e *entry) adapterCost(r Request, c *Choice, now time.Duration) time.Duration {
 	t := r.Adapter.Tag()
 	h, ok := e.loaded[t]
-	if ok && h.Version >= r.MinVersion {
-		c.Version = h.Version
-		c.ReadyIn = max(0, h.ReadyAt-now)
+	ready := max(0, h.ReadyAt-now)
+	inTime := h.Version >= r.Version || now+ready+c.FirstEvent <= r.OldUntil
+	if ok && h.Version >= r.MinVersion && inTime {
+		c.Version, c.ReadyIn = h.Version, ready
 		if h.Version < r.Version {
 			return c.ReadyIn + rankStep
 		}
--- a/state/pool/pool_test.go
+++ b/state/pool/pool_test.go
@@ -124,7 +124,7 @@
 	p := engines(1)
 	setLoaded(p, "e0", a1)
 	q := request(a1)
-	q.Version, q.MinVersion = 2, 1
+	q.Version, q.MinVersion, q.OldUntil = 2, 1, now+time.Second
 	if c := choose(t, p, q); c.NeedsLoad || c.Version != 1 {
 		t.Errorf("load %v version %d, want the old version in its grace period", c.NeedsLoad, c.Version)
 	}
@@ -134,6 +134,25 @@
 	}
 }
 
+// The engine with the previous version has a long queue, so that a response there would begin only
+// after that version has expired.
+func TestOldVersionIsNotUsedBehindALongQueue(t *testing.T) {
+	p := engines(2)
+	setLoaded(p, "e0", a1)
+	p.SetPeer("other", []pool.Work{
+		{Upstream: pool.ID("e0").Tag(), Adapter: a1.Tag(), Usage: pool.Usage{Running: 20, PrefillTokens: 60_000, Tokens: 60_000}},
+	})
+	q := request(a1)
+	q.Version, q.MinVersion, q.OldUntil = 2, 1, now+2*time.Second
+	if c := choose(t, p, q); c.ID != "e1" || !c.NeedsLoad || c.Version != 2 {
+		t.Errorf("%s is chosen with version %d, want the new version on e1", c.ID, c.Version)
+	}
+	p.SetLoadedAdapters("e1", map[pool.Tag]pool.LoadedAdapter{a1.Tag(): {Version: 1, ReadyAt: now + 3*time.Second}}, nil)
+	if c := choose(t, p, q); c.Version != 2 {
+		t.Errorf("%s is chosen with version %d, which is ready only after it has expired", c.ID, c.Version)
+	}
+}
+
 func TestWorkOfPeersCounts(t *testing.T) {
 	p := engines(2)
 	setLoaded(p, "e0", a1)
