entry: an instance that starts after a restored store learns the configuration in force

Cause: a starting instance takes the configuration from the store alone; the others keep the newer one in force, but their copies of the rows are those of the store.

Change: heartbeats state the version of the configuration in force. An instance whose rows are as new as those of a peer, but whose configuration is older, fetches the peer's.

Ruled out: keeping the newer row in the peers' copies, since a starting instance reads the store itself.

--- a/coordination/gossip/heartbeat.go
+++ b/coordination/gossip/heartbeat.go
@@ -57,6 +57,8 @@
 	Versions map[pool.Tag]mirror.Version
 	// ListingsDigest is a digest of the list of upstreams at the version in Versions.
 	ListingsDigest uint64
+	// Configuration is the version of the configuration in force, or 0 if there is none.
+	Configuration route.Version
 	// Lease is the version of the instance's lease. Surrendered is set if the instance
 	// gives no orders under it.
 	Lease       mirror.Version
@@ -134,6 +136,7 @@
 	// carries nothing else.
 	Suspicions     []byte `protobuf:"bytes,38,opt,name=suspicions,proto3"`
 	SuspicionsOnly bool   `protobuf:"varint,39,opt,name=suspicions_only,proto3"`
+	Configuration  int64  `protobuf:"varint,40,opt,name=configuration,proto3"`
 }
 
 // placementMessage is a Placement on the wire. Versions, ReadyInMs and Running are in
@@ -159,7 +162,7 @@
 		Name: b.Name, Run: b.Run, Sequence: b.Sequence, Serving: b.Serving, UptimeMs: b.Uptime.Milliseconds(),
 		Lease: int64(b.Lease), Surrendered: b.Surrendered, Loading: int64(b.Loading),
 		Zone: b.Zone, Unsteady: b.StoreUnstable, Reading: b.ReadsStore, Vouching: b.StoreConfirmed, Front: b.FrontAddress, Peer: b.PeerAddress, Listings: b.ListingsDigest,
-		Suspicions: b.Suspicions,
+		Suspicions: b.Suspicions, Configuration: int64(b.Configuration),
 	}
 	for t, v := range b.Versions {
 		m.Tables, m.Versions = append(m.Tables, uint32(t)), append(m.Versions, int64(v))
@@ -213,7 +216,7 @@
 	b := Heartbeat{
 		Name: m.Name, Run: m.Run, Sequence: m.Sequence, Serving: m.Serving, Uptime: time.Duration(m.UptimeMs) * time.Millisecond,
 		Lease: mirror.Version(m.Lease), Surrendered: m.Surrendered, Loading: int(m.Loading),
-		Zone: m.Zone, StoreUnstable: m.Unsteady, ReadsStore: m.Reading, StoreConfirmed: m.Vouching, FrontAddress: m.Front, PeerAddress: m.Peer, ListingsDigest: m.Listings, Suspicions: m.Suspicions,
+		Zone: m.Zone, StoreUnstable: m.Unsteady, ReadsStore: m.Reading, StoreConfirmed: m.Vouching, FrontAddress: m.Front, PeerAddress: m.Peer, ListingsDigest: m.Listings, Suspicions: m.Suspicions, Configuration: route.Version(m.Configuration),
 		Versions: map[pool.Tag]mirror.Version{}, Spent: map[pool.Tag]float64{}, Sent: map[pool.Tag]retry.Count{},
 	}
 	for i := range min(len(m.Tables), len(m.Versions)) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -111,6 +112,10 @@
 	run       int64
 	startedAt time.Duration
 	table     atomic.Pointer[route.Table]
+	// installMu is held while a configuration is put into force. It guards installed, the encoded
+	// one in force.
+	installMu sync.Mutex
+	installed []byte
 	pool      *pool.Pool
 	feeds     map[string]*feed.Feed
 	gossip    *gossip.Gossip
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -215,6 +215,9 @@
 		b.Versions[pool.NewTag(t)] = e.tableVersion(t)
 	}
 	b.Versions[pool.NewTag(e.Tables.Upstreams)], b.ListingsDigest = e.listings.Summary()
+	if k := e.table.Load(); k != nil {
+		b.Configuration = k.Version
+	}
 	b.Limits, b.Suspicions = e.pool.Limits(now), e.suspects.Payload()
 	for id, k := range e.ownedEngines(now) {
 		e.pool.ClearRemoteUsage(id)
@@ -333,6 +336,11 @@
 	e.registerOrderHandlers()
 	e.registerPermitHandler()
 	e.registerTrialHandler()
+	mesh.Handle(e.mesh, configurationMethod, func(context.Context, string, *configurationRequest) (*configurationReply, error) {
+		e.installMu.Lock()
+		defer e.installMu.Unlock()
+		return &configurationReply{Value: e.installed}, nil
+	})
 	mesh.Handle(e.mesh, rowsMethod, func(_ context.Context, _ string, q *rowsRequest) (*rowsReply, error) {
 		return e.rowsAfter(q.Table, mirror.Version(q.After)), nil
 	})
--- a/entry/row_sync.go
+++ b/entry/row_sync.go
@@ -94,6 +94,9 @@
 		}
 		stop()
 		f.sync(c)
+		if table == e.Tables.Configuration {
+			f.syncConfiguration(c)
+		}
 	}
 }
 
@@ -149,6 +152,48 @@
 	delete(f.failed, name)
 }
 
+const configurationMethod = "configuration/get"
+
+type configurationRequest struct {
+	mesh.Message
+}
+
+type configurationReply struct {
+	mesh.Message
+	Value []byte `protobuf:"bytes,1,opt,name=value,proto3"`
+}
+
+// syncConfiguration fetches the configuration from a peer in which a newer one is in force although
+// its rows are not newer. The store has then come back from a copy: this instance, which has started
+// since, knows only what the copy has until the operators write again.
+func (f *rowSyncer) syncConfiguration(c context.Context) {
+	e := f.entry
+	t := e.table.Load()
+	if t == nil {
+		return
+	}
+	now, own, tag := e.timer.Boot(), e.tableVersion(f.table), pool.NewTag(f.table)
+	for _, p := range e.gossip.LivePeers(now) {
+		if p.Configuration <= t.Version || p.Versions[tag] > own || now < f.failed[p.Name] {
+			continue
+		}
+		m, ok := e.members.get(p.Name)
+		if !ok {
+			continue
+		}
+		x, cancel := context.WithTimeout(c, rowsCallTimeout)
+		r, err := mesh.Call[configurationRequest, configurationReply](x, e.mesh, m.peer.String(), configurationMethod, &configurationRequest{})
+		cancel()
+		if err != nil {
+			e.log.Warn("configuration in force cannot be read", zap.String("from", p.Name), zap.Error(err))
+			f.failed[p.Name] = e.timer.Boot() + failedPeerTime
+			continue
+		}
+		e.installConfiguration(r.Value, p.Name, own)
+		return
+	}
+}
+
 // fetchRows fetches and applies the rows of a table that an instance has and this one lacks.
 func (e *Entry) fetchRows(c context.Context, m member, table string) error {
 	f := e.feeds[table]
--- a/entry/rows.go
+++ b/entry/rows.go
@@ -31,26 +31,31 @@
 		case r.Removed:
 			e.log.Warn("operator row was removed; its last value stays in force", zap.String("key", r.Key))
 		case r.Key == e.Tables.ConfigurationKey:
-			e.installConfiguration(r)
+			e.installConfiguration(r.Value, "the store", r.Version)
 		case strings.HasPrefix(r.Key, e.Tables.VersionPrefix):
 			e.addVersion(r)
 		}
 	}
 }
 
-func (e *Entry) installConfiguration(r mirror.Row) {
-	k, err := e.DecodeConfiguration(r.Value)
+// installConfiguration puts a configuration into force unless a newer one is. From is the store or
+// the instance that it comes from, and row the version of its row there.
+func (e *Entry) installConfiguration(value []byte, from string, row mirror.Version) {
+	k, err := e.DecodeConfiguration(value)
 	if err != nil {
-		e.log.Error("cannot decode configuration; the previous one stays in force", zap.String("row", r.Key), zap.Int64("row-version", int64(r.Version)), zap.Error(err))
+		e.log.Error("cannot decode configuration; the previous one stays in force", zap.String("from", from), zap.Int64("row-version", int64(row)), zap.Error(err))
 		return
 	}
+	e.installMu.Lock()
+	defer e.installMu.Unlock()
 	if old := e.table.Load(); old != nil && old.Version >= k.Version {
 		return
 	}
 	t := route.New(k)
 	e.table.Store(t)
+	e.installed = value
 	e.quota.setPlans(t, e.timer.Boot())
-	e.log.Info("configuration installed", zap.Int64("version", int64(k.Version)), zap.Int("routes", len(k.Routes)),
+	e.log.Info("configuration installed", zap.Int64("version", int64(k.Version)), zap.String("from", from), zap.Int64("row-version", int64(row)), zap.Int("routes", len(k.Routes)),
 		zap.Int("services", len(k.Services)), zap.Int("workspaces", len(k.Workspaces)))
 }
 
