pool: requests spread over equal upstreams

What was seen: as a whole fleet starts, each instance knows of no requests on a plain service, and all of them choose the upstream with the lowest id of their zone; it rejects what is beyond its queue, and each rejection takes a retry of the fleet's budget.

Change: equal upstreams are ordered by a hash of the request and the upstream.

TestFirstRequestsOfAFleetSpreadOverAService: without it all of 200 requests go to one upstream.

--- a/state/pool/choose.go
+++ b/state/pool/choose.go
@@ -34,6 +34,8 @@
 	// PromptTokens and OutputTokens are 0 for plain services.
 	PromptTokens, OutputTokens int
 	Zone                       string
+	// Spread differs between requests. Of several equal upstreams, each request gets another one.
+	Spread uint64
 	// Exclude holds the upstreams that have already failed this request.
 	Exclude map[ID]bool
 	// CanLoad reports whether the engine has an owner that can order loads on it. Nil
@@ -99,7 +101,7 @@
 			continue
 		}
 		c, x := e.evaluate(r, now)
-		if chosen != nil && (x > cost || x == cost && id > chosen.ID) {
+		if chosen != nil && (x > cost || x == cost && spreadRank(r.Spread, e.tag) > spreadRank(r.Spread, chosen.tag)) {
 			continue
 		}
 		if c.NeedsLoad && (now < e.loadsDeferredUntil || r.CanLoad != nil && !r.CanLoad(id)) {
@@ -220,6 +222,16 @@
 	return n
 }
 
+// spreadRank orders equal upstreams for a request.
+//
+// Load pattern: a whole fleet starts, or finds a service idle; instances that know of no requests
+// there must not all choose the same upstream.
+func spreadRank(spread uint64, t Tag) uint64 {
+	const multiplier = 0x9e3779b97f4a7c15 // of splitmix64
+	h := (spread ^ uint64(t)) * multiplier
+	return (h ^ h>>32) * multiplier
+}
+
 // rankPenalty is the penalty for the upstream's place in the rendezvous order of an
 // adapter. It spreads adapters over engines identically on all instances.
 func (e *entry) rankPenalty(a Tag) time.Duration {
--- a/state/pool/pool_test.go
+++ b/state/pool/pool_test.go
@@ -358,3 +358,28 @@
 		t.Error("no upstream is chosen after its row was confirmed")
 	}
 }
+
+// A whole fleet has just started and knows of no requests. Its first requests must spread over the
+// upstreams of a service, which reject what is beyond their queues.
+func TestFirstRequestsOfAFleetSpreadOverAService(t *testing.T) {
+	p := pool.New()
+	for i := range 10 {
+		p.Put(pool.Upstream{ID: pool.ID(fmt.Sprint("s", i)), Service: "orders", Slots: 6, Zone: "z"})
+	}
+	chosen := map[pool.ID]int{}
+	for i := range 200 {
+		c, ok := p.Choose(pool.Request{Service: "orders", Zone: "z", Spread: uint64(i)}, now)
+		if !ok {
+			t.Fatal("no upstream was chosen")
+		}
+		chosen[c.ID]++
+	}
+	for id, n := range chosen {
+		if n > 40 {
+			t.Errorf("%d of 200 requests go to %s", n, id)
+		}
+	}
+	if len(chosen) != 10 {
+		t.Errorf("%d of 10 upstreams are chosen", len(chosen))
+	}
+}
