suspect: a verdict of the own interface is stored for as long as it blocks

A request that goes on coming is blocked by the instances that know the verdict, but crashes engines again at those that start later; and what they know never expired in memory, which only the bounds of the ledger kept small.

Cause: nothing called Expire there, and nothing extended the stored row.

Change: once a minute each instance removes what is too old, and stores the verdicts again that have blocked a request since. Found by reading, looking for the cause of the incident elsewhere.

Evidence: TestVerdictIsStoredForAsLongAsItBlocks; without the change nothing is stored again.

--- a/coordination/suspect/fleet.go
+++ b/coordination/suspect/fleet.go
@@ -23,7 +23,8 @@
 	rowPrefix       = "suspect/"
 	announceTimeout = 500 * time.Millisecond
 	maxRows         = 1000
-	// rowRetention is how long a stored verdict is used by instances that start.
+	// rowRetention is how long a stored verdict that blocks no more requests is used by instances
+	// that start.
 	rowRetention = 10 * time.Minute
 	// partDigits is the number of hexadecimal digits of a part. Earlier versions stored the whole
 	// hash of the request, which begins with them.
@@ -75,6 +76,11 @@
 	w.Wait()
 }
 
+// Run keeps the registry and the stored verdicts up to date until c ends.
+func (r *FleetRegistry) Run(c context.Context) {
+	r.Timer.Subscribe(c, maintainInterval, func(time.Time) { r.Maintain(c) })
+}
+
 type storedCrash struct {
 	Upstream    string `json:"upstream"`
 	Incarnation int64  `json:"incarnation"`
--- a/coordination/suspect/suspect.go
+++ b/coordination/suspect/suspect.go
@@ -28,6 +28,8 @@
 	// reportWait is the time in which the other instances report what they had on an upstream
 	// that has crashed.
 	reportWait = 100 * time.Millisecond
+	// maintainInterval is the interval between two calls of Registry.Maintain.
+	maintainInterval = time.Minute
 )
 
 // Services are the dependencies of Registry.
@@ -39,7 +41,8 @@
 	Announce func(c context.Context, data []byte)
 	// OnCrash is called with each new crash, of this instance or another. Nil ignores it.
 	OnCrash func(x suspicion.Crash)
-	// Store stores a new verdict for instances that start later. Nil stores none here.
+	// Store stores a verdict, or extends the time for which it is stored, for instances that start
+	// later. Nil stores none here.
 	Store func(c context.Context, v suspicion.Verdict)
 	// Recorder records crashes and verdicts in the time line. It may be nil.
 	Recorder *timeline.Recorder
@@ -225,6 +228,20 @@
 	return r.ledger.Expire(r.Timer.Boot())
 }
 
+// Maintain removes what is too old to count, and stores the verdicts again that have blocked a
+// request since the last time, so that they do not expire in the store.
+func (r *Registry) Maintain(c context.Context) {
+	r.Expire()
+	if r.Store == nil {
+		return
+	}
+	for _, v := range r.Verdicts() {
+		if len(v.Parts) > 0 && v.Quiet < maintainInterval {
+			r.Store(c, v)
+		}
+	}
+}
+
 // Payload returns what this instance repeats in its heartbeats: its own evidence of the last
 // seconds and all verdicts. It is nil if there is nothing.
 func (r *Registry) Payload() []byte {
--- a/coordination/suspect/suspect_test.go
+++ b/coordination/suspect/suspect_test.go
@@ -131,3 +131,25 @@
 		t.Errorf("the second instance heard of %v", heard)
 	}
 }
+
+// A deadly request goes on coming for longer than its verdict is stored. Instances that start then
+// must find the verdict; one that blocks nothing any more expires at each instance.
+func TestVerdictIsStoredForAsLongAsItBlocks(t *testing.T) {
+	f := newFleet()
+	f.crash(3)
+	expectStatus(t, f.first, "after the verdict", suspicion.Blocked)
+	f.stored = nil
+	for range 15 {
+		f.now += time.Minute
+		expectStatus(t, f.first, "while it comes", suspicion.Blocked)
+		f.first.Maintain(t.Context())
+	}
+	if len(f.stored) != 15 {
+		t.Errorf("stored %d times in 15 minutes, want each minute", len(f.stored))
+	}
+	f.now += 2 * time.Hour
+	f.first.Maintain(t.Context())
+	if len(f.stored) != 15 || len(f.first.Verdicts()) != 0 {
+		t.Errorf("stored %d times, %d verdicts after two quiet hours", len(f.stored), len(f.first.Verdicts()))
+	}
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -163,6 +163,7 @@
 	go i.Fleet.Run(i.life)
 	go i.Quota.Run(i.life)
 	go i.Placement.Run(i.life)
+	go i.Suspects.Run(i.life)
 	select {
 	case err := <-failed:
 		return err
