--- a/coordination/fleet/call.go
+++ b/coordination/fleet/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"iter"
 	"slices"
 	"time"
 
@@ -57,42 +58,50 @@
 	return f.Hears(seat) || len(f.Relays(seat)) > 0
 }
 
-// Route is a way to call a member: directly, or through another one if Via is not empty.
-type Route struct {
+// Path is a way to call a member: directly, or through another one, whose mesh address is Via, if
+// that is not empty.
+type Path struct {
 	To  lease.Member
 	Via string
 }
 
-// Routes returns the ways to call a member, the best first.
-func (f *Fleet) Routes(m lease.Member) []Route {
-	relays := f.Relays(m.Seat)
-	var out []Route
-	if len(relays) == 0 || f.Hears(m.Seat) {
-		out = append(out, Route{To: m})
-	}
-	for _, x := range relays {
-		out = append(out, Route{To: m, Via: x.Mesh})
+// Paths returns the ways to call a member, the best first. Relays are looked for only once they are
+// needed.
+func (f *Fleet) Paths(m lease.Member) iter.Seq[Path] {
+	return func(yield func(Path) bool) {
+		direct, heard := Path{To: m}, f.Hears(m.Seat)
+		if heard && !yield(direct) {
+			return
+		}
+		relays := f.Relays(m.Seat)
+		for _, x := range relays {
+			if !yield(Path{To: m, Via: x.Mesh}) {
+				return
+			}
+		}
+		if !heard && len(relays) == 0 {
+			yield(direct)
+		}
 	}
-	return out
 }
 
-// CallBy calls a method of a member by one way. It fails with mesh.ErrUnreachable, or with
+// CallOver calls a method of a member over one path. It fails with mesh.ErrUnreachable, or with
 // mesh.ErrRefused if the member, or the one that passes the call on, returns an error.
-func CallBy[Q, R any, PQ interface {
+func CallOver[Q, R any, PQ interface {
 	*Q
 	protoadapt.MessageV1
 }, PR interface {
 	*R
 	protoadapt.MessageV1
-}](c context.Context, f *Fleet, w Route, method string, q *Q) (*R, error) {
-	if w.Via == "" {
-		return mesh.Call[Q, R, PQ, PR](c, f.Mesh, w.To.Mesh, method, q)
+}](c context.Context, f *Fleet, x Path, method string, q *Q) (*R, error) {
+	if x.Via == "" {
+		return mesh.Call[Q, R, PQ, PR](c, f.Mesh, x.To.Mesh, method, q)
 	}
-	return mesh.CallVia[Q, R, PQ, PR](c, f.Mesh, w.Via, w.To.Mesh, method, q)
+	return mesh.CallVia[Q, R, PQ, PR](c, f.Mesh, x.Via, x.To.Mesh, method, q)
 }
 
-// Call calls a method of a member by one way after the other, until the member answers. It may get
-// the call more than once. Call fails as CallBy does.
+// Call calls a method of a member over one path after the other, until the member answers. It may get
+// the call more than once. Call fails as CallOver does.
 func Call[Q, R any, PQ interface {
 	*Q
 	protoadapt.MessageV1
@@ -100,9 +109,9 @@
 	*R
 	protoadapt.MessageV1
 }](c context.Context, f *Fleet, m lease.Member, method string, q *Q) (r *R, err error) {
-	for _, w := range f.Routes(m) {
-		r, err = CallBy[Q, R, PQ, PR](c, f, w, method, q)
-		if err == nil || w.Via == "" && !errors.Is(err, mesh.ErrUnreachable) {
+	for x := range f.Paths(m) {
+		r, err = CallOver[Q, R, PQ, PR](c, f, x, method, q)
+		if err == nil || x.Via == "" && !errors.Is(err, mesh.ErrUnreachable) {
 			break
 		}
 	}
--- a/coordination/placement/client.go
+++ b/coordination/placement/client.go
@@ -84,8 +84,8 @@
 	c, cancel := context.WithCancel(c)
 	defer cancel()
 	go p.cancelOnOwnerChange(c, cancel, id, m.Seat)
-	for _, w := range p.Fleet.Routes(m) {
-		u, r, err := p.acquireBy(c, q, id, w)
+	for x := range p.Fleet.Paths(m) {
+		u, r, err := p.acquireOver(c, q, id, x)
 		if err == nil || c.Err() != nil {
 			return u, r, err
 		}
@@ -93,19 +93,19 @@
 	return adapter.Use{}, adapter.Busy, mesh.ErrUnreachable
 }
 
-// acquireBy requests a use from the owner of an upstream by one way. Each way has a use of its own,
-// since the owner may get more than one of the calls.
-func (p *Placement) acquireBy(c context.Context, q Request, id adapter.UpstreamID, w fleet.Route) (adapter.Use, adapter.Result, error) {
+// acquireOver requests a use from the owner of an upstream over one path. Each path has a use of its
+// own, since the owner may get more than one of the calls.
+func (p *Placement) acquireOver(c context.Context, q Request, id adapter.UpstreamID, x fleet.Path) (adapter.Use, adapter.Result, error) {
 	use := adapter.Use{
 		ID: adapter.UseID(fmt.Sprintf("%s/%d", q.RequestID, p.sequence.Add(1))), Upstream: id, Adapter: q.Adapter,
 		Workspace: q.Workspace, Exclusive: q.Exclusive, Holder: adapter.Holder(p.Fleet.Self()),
 	}
 	p.addUse(use)
-	u, r, err := p.callOwner(c, w, use, q.Tokens)
+	u, r, err := p.callOwner(c, x, use, q.Tokens)
 	if err != nil || r != adapter.Granted {
 		p.removeUse(use.ID)
 		if err != nil {
-			p.releaseAtOwner(w.To, use, false)
+			p.releaseAtOwner(x.To, use, false)
 		}
 		return adapter.Use{}, r, err
 	}
@@ -131,12 +131,12 @@
 	})
 }
 
-func (p *Placement) callOwner(c context.Context, w fleet.Route, use adapter.Use, tokens lists.Tokens) (adapter.Use, adapter.Result, error) {
-	if w.To.Seat == p.Fleet.Self() {
+func (p *Placement) callOwner(c context.Context, x fleet.Path, use adapter.Use, tokens lists.Tokens) (adapter.Use, adapter.Result, error) {
+	if x.To.Seat == p.Fleet.Self() {
 		o, err := p.acquireLocal(c, use, tokens)
 		return o.Use, o.Result, err
 	}
-	r, err := fleet.CallBy[acquireQuery, acquireReply](c, p.Fleet, w, acquireMethod, &acquireQuery{Use: toMessage(use), Tokens: int64(tokens)})
+	r, err := fleet.CallOver[acquireQuery, acquireReply](c, p.Fleet, x, acquireMethod, &acquireQuery{Use: toMessage(use), Tokens: int64(tokens)})
 	if err != nil {
 		return adapter.Use{}, adapter.Busy, err
 	}
--- a/protocol/dispatch/attempt.go
+++ b/protocol/dispatch/attempt.go
@@ -247,12 +247,14 @@
 	if j.route.Repeatable() && !j.started && j.runs+1 < j.route.MaxAttempts && j.deadline-now >= 2*silent {
 		out = append(out, firstPartLimit{after: silent, needsBudget: true})
 	}
-	if j.oldUntil > 0 && now+silent < j.oldUntil {
-		out = append(out, firstPartLimit{after: j.oldUntil - now})
-	} else if j.oldUntil > 0 {
-		out = []firstPartLimit{{after: max(0, j.oldUntil-now)}}
+	if j.oldUntil == 0 {
+		return out
 	}
-	return out
+	expires := max(0, j.oldUntil-now)
+	if expires <= silent {
+		out = nil
+	}
+	return append(out, firstPartLimit{after: expires})
 }
 
 // startFirstPartTimer cancels the present send if no part of the response arrives within its
