dispatch: a waiting request is refused as soon as it is blocked

Cause: the verdict was checked on arrival and before each send only.

Change: it is checked in each round of placement and, while any crash is known, each 50 ms of the wait for an adapter.

Evidence: TestWaitingRequestIsRefusedAtTheVerdict fails before, with 'the adapter was not ready in time' and 'no upstream had room in time'.

--- a/protocol/dispatch/crash.go
+++ b/protocol/dispatch/crash.go
@@ -23,6 +23,8 @@
 	maxTrialWait    = 100 * time.Millisecond
 	trialPoll       = 25 * time.Millisecond
 	trialRetryAfter = 400 * time.Millisecond
+	// blockedPoll is how often a request that waits for its adapter checks whether it is blocked.
+	blockedPoll = 50 * time.Millisecond
 )
 
 // parts returns the parts of a request that may crash an upstream: those of its prompt and the
--- a/protocol/dispatch/crash_test.go
+++ b/protocol/dispatch/crash_test.go
@@ -5,7 +5,9 @@
 	"errors"
 	"net/http"
 	"testing"
+	"time"
 
+	"gentiangauge.example/gentiangauge/coordination/orders"
 	"gentiangauge.example/gentiangauge/protocol/dispatch"
 	"gentiangauge.example/gentiangauge/refusal"
 	"gentiangauge.example/gentiangauge/state/pool"
@@ -139,3 +141,25 @@
 		t.Error("the upstream is gone")
 	}
 }
+
+// The fleet reaches a verdict while a request waits for its adapter, or for an engine that can load
+// it. The request is refused then, not as its wait ends.
+func TestWaitingRequestIsRefusedAtTheVerdict(t *testing.T) {
+	for name, load := range map[string]func() (time.Duration, error){
+		"for its adapter": func() (time.Duration, error) { return time.Hour, nil },
+		"for an engine":   func() (time.Duration, error) { return 0, orders.ErrFull },
+	} {
+		b := newCrashHarness(2)
+		b.load = func() (time.Duration, error) {
+			time.AfterFunc(20*time.Millisecond, func() {
+				x := suspicion.VerdictID{Crash: suspicion.Crash{Upstream: "x", StartedAt: 1}, Lead: 1}
+				b.suspects.Merge(suspicion.Verdict{VerdictID: x, Parts: deadlyParts}, "test")
+			})
+			return load()
+		}
+		_, err := b.serve("/chat/x")
+		if err == nil || refusal.As(err).Code != refusal.RequestBlocked || len(b.sends) > 0 {
+			t.Errorf("a request that waits %s: error %v after %d sends, want request-blocked and no send", name, err, len(b.sends))
+		}
+	}
+}
--- a/protocol/dispatch/place.go
+++ b/protocol/dispatch/place.go
@@ -40,6 +40,9 @@
 	deadline := j.placementDeadline(d.Timer.Boot())
 	for {
 		now := d.Timer.Boot()
+		if err := d.checkBlocked(j); err != nil {
+			return pool.Choice{}, err
+		}
 		if c.Err() != nil || now >= deadline {
 			return pool.Choice{}, refusal.Later(refusal.Overloaded, overloadRetryAfter, "no upstream had room in time")
 		}
@@ -154,13 +157,20 @@
 }
 
 // awaitAdapter waits until an adapter is ready, following updates of the ready time by
-// the engine's owner.
+// the engine's owner. It ends the wait of a request that is blocked meanwhile.
 func (d *Dispatcher) awaitAdapter(c context.Context, j *job, id pool.ID, t time.Duration) error {
 	for t > 0 {
+		if !d.Suspects.Quiet() {
+			t = min(t, blockedPoll)
+		}
 		if err := d.Timer.Wait(c, t); err != nil {
 			d.countEnd(j, id)
 			return refusal.Later(refusal.Overloaded, overloadRetryAfter, "the adapter was not ready in time")
 		}
+		if err := d.checkBlocked(j); err != nil {
+			d.countEnd(j, id)
+			return err
+		}
 		t, _ = d.Pool.ReadyIn(id, j.Adapter, d.Timer.Boot())
 	}
 	return nil
