dispatch: a send that expired before anything was written has not run

What callers would see: a request that waits for a connection to an engine with an old version of its adapter, as that version expires, was counted as run: one that may run only once was answered 502, and a permit that it held was not returned.

Cause: the case of an expired version was put before the check whether anything was sent, beside it.

Change: it only spares the engine the blame; what was not sent is handled as for any other send.

Evidence: TestUnsentRequestLeavesAnEngineWithAnExpiredVersion fails before. Found by reading.

--- a/protocol/dispatch/attempt.go
+++ b/protocol/dispatch/attempt.go
@@ -81,7 +81,8 @@
 	}
 }
 
-// setChoice records the upstream that was chosen for the next send.
+// setChoice records the upstream that was chosen for the next send. A newer version of the adapter
+// may have been announced since the choice, while the request waited.
 func (d *Dispatcher) setChoice(j *job, h pool.Choice) {
 	j.choice, j.oldUntil = h, 0
 	if j.Adapter.Name == "" || j.service.Engine == nil {
@@ -305,12 +306,11 @@
 		j.runs++
 		return eris.Wrap(context.Cause(c), "caller disconnected or deadline passed")
 	}
-	if j.outdated.Load() {
-		j.runs++
-		return errOutdated
+	outdated := j.outdated.Load()
+	if !outdated {
+		j.avoid[j.choice.ID] = true
+		d.Pool.RecordOutcome(j.choice.ID, pool.Unreachable, now)
 	}
-	j.avoid[j.choice.ID] = true
-	d.Pool.RecordOutcome(j.choice.ID, pool.Unreachable, now)
 	d.Log.Info("sending to upstream failed", zap.String("request", j.ID), zap.String("upstream", string(j.choice.ID)), zap.Error(err))
 	if errors.Is(err, relay.ErrNotSent) {
 		if j.permitted {
@@ -319,6 +319,9 @@
 		return eris.Wrap(errTryAnother, "the upstream cannot be reached")
 	}
 	j.runs++
+	if outdated {
+		return errOutdated
+	}
 	d.recordBreak(c, j)
 	return eris.Wrap(errTryAnother, "upstream did not respond")
 }
--- a/protocol/dispatch/version_test.go
+++ b/protocol/dispatch/version_test.go
@@ -68,3 +68,23 @@
 		t.Errorf("error %v, status %d after %d sends", err, w.Code, len(b.sends))
 	}
 }
+
+// A request that may run only once waits for a connection to an engine with the previous version
+// until that version has expired. Nothing was sent, so that the request may be sent elsewhere.
+func TestUnsentRequestLeavesAnEngineWithAnExpiredVersion(t *testing.T) {
+	b := newHarness(1)
+	b.newest, b.oldest, b.oldUntil = 2, 1, b.timer.Boot()+100*time.Millisecond
+	b.pool.SetLoadedAdapters("e0", map[pool.Tag]pool.LoadedAdapter{adapter.Tag(): {Version: 1}}, nil)
+	b.respond = func(n int, _ dispatch.UpstreamRequest) (*dispatch.Response, error) {
+		if n > 1 {
+			return stream("id: 1\ndata: a\n\n", false), nil
+		}
+		<-b.context.Done()
+		b.oldest = 2
+		b.pool.SetLoadedAdapters("e0", map[pool.Tag]pool.LoadedAdapter{adapter.Tag(): {Version: 2}}, nil)
+		return nil, relay.ErrNotSent
+	}
+	if w, err := b.serve("/once/x"); err != nil || w.Code != http.StatusOK || len(b.sends) != 2 {
+		t.Errorf("error %v, status %d after %d sends, want the second send answered", err, w.Code, len(b.sends))
+	}
+}
