pool: one hash of two tags for the ranks of adapters and of requests

The order of equal upstreams had a hash of its own beside that of rankPenalty; the tag of a request comes from NewTag, as others do. Which of two equal upstreams a request gets changes, how they are spread does not (TestFirstRequestsOfAFleetSpreadOverAService).

--- a/protocol/dispatch/place.go
+++ b/protocol/dispatch/place.go
@@ -5,7 +5,6 @@
 	"errors"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"gentiangauge.example/gentiangauge/coordination/orders"
@@ -179,7 +178,7 @@
 func (d *Dispatcher) poolQuery(j *job, tried map[pool.ID]bool, now time.Duration) pool.Request {
 	a := pool.Request{
 		Service: j.service.Name, Adapter: j.Adapter, PromptTokens: j.PromptTokens, OutputTokens: j.OutputTokens,
-		Zone: d.settings.Load().Zone, Spread: xxhash.Sum64String(j.ID), Exclude: map[pool.ID]bool{}, CanLoad: d.HasOwner,
+		Zone: d.settings.Load().Zone, Spread: pool.NewTag(j.ID), Exclude: map[pool.ID]bool{}, CanLoad: d.HasOwner,
 	}
 	for id := range tried {
 		a.Exclude[id] = true
--- a/state/pool/choose.go
+++ b/state/pool/choose.go
@@ -35,7 +35,10 @@
 	PromptTokens, OutputTokens int
 	Zone                       string
 	// Spread differs between requests. Of several equal upstreams, each request gets another one.
-	Spread uint64
+	//
+	// Load pattern: a whole fleet starts, or finds a service idle; instances that know of no
+	// requests there must not all choose the same upstream.
+	Spread Tag
 	// Exclude holds the upstreams that have already failed this request.
 	Exclude map[ID]bool
 	// CanLoad reports whether the engine has an owner that can order loads on it. Nil
@@ -101,7 +104,7 @@
 			continue
 		}
 		c, x := e.evaluate(r, now)
-		if chosen != nil && (x > cost || x == cost && spreadRank(r.Spread, e.tag) > spreadRank(r.Spread, chosen.tag)) {
+		if chosen != nil && (x > cost || x == cost && mix(e.tag, r.Spread) > mix(chosen.tag, r.Spread)) {
 			continue
 		}
 		if c.NeedsLoad && (now < e.loadsDeferredUntil || r.CanLoad != nil && !r.CanLoad(id)) {
@@ -222,21 +225,17 @@
 	return n
 }
 
-// spreadRank orders equal upstreams for a request.
-//
-// Load pattern: a whole fleet starts, or finds a service idle; instances that know of no requests
-// there must not all choose the same upstream.
-func spreadRank(spread uint64, t Tag) uint64 {
-	const multiplier = 0x9e3779b97f4a7c15 // of splitmix64
-	h := (spread ^ uint64(t)) * multiplier
-	return (h ^ h>>32) * multiplier
-}
-
 // rankPenalty is the penalty for the upstream's place in the rendezvous order of an
 // adapter. It spreads adapters over engines identically on all instances.
 func (e *entry) rankPenalty(a Tag) time.Duration {
-	// The constants and the shift are those of the MurmurHash3 finalizer.
-	const places, first, second = 8, 0x85ebca6b, 0xc2b2ae35
-	h := (uint32(e.tag)*first ^ uint32(a)) * second
-	return rankStep * time.Duration((h^h>>16)%places)
+	const places = 8
+	return rankStep * time.Duration(mix(e.tag, a)%places)
+}
+
+// mix returns a hash of two tags. The constants and the shift are those of the MurmurHash3
+// finalizer.
+func mix(a, b Tag) uint32 {
+	const first, second = 0x85ebca6b, 0xc2b2ae35
+	h := (uint32(a)*first ^ uint32(b)) * second
+	return h ^ h>>16
 }
--- a/state/pool/pool_test.go
+++ b/state/pool/pool_test.go
@@ -368,7 +368,7 @@
 	}
 	chosen := map[pool.ID]int{}
 	for i := range 200 {
-		c, ok := p.Choose(pool.Request{Service: "orders", Zone: "z", Spread: uint64(i)}, now)
+		c, ok := p.Choose(pool.Request{Service: "orders", Zone: "z", Spread: pool.NewTag(fmt.Sprint(i))}, now)
 		if !ok {
 			t.Fatal("no upstream was chosen")
 		}
