--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"gentiangauge.example/gentiangauge/coordination/gossip"
@@ -141,15 +142,9 @@
 
 // register writes the member row of this instance, and retries until that succeeds or c ends.
 func (e *Entry) register(c context.Context) {
-	t, err := e.memberTransaction()
-	if err != nil {
-		e.log.Error("cannot encode member row", zap.Error(err))
-		return
-	}
 	for c.Err() == nil {
-		var r store.Result
-		if r, err = e.Store.Transact(c, t); err == nil {
-			e.memberRowVersion.Store(int64(r.Version))
+		err := e.writeMemberRow(c)
+		if err == nil {
 			return
 		}
 		e.log.Warn("could not write member row, retrying", zap.Error(err))
@@ -168,21 +163,21 @@
 		return
 	}
 	e.memberRowWrittenAt = now
-	t, err := e.memberTransaction()
-	var r store.Result
-	if err == nil {
-		r, err = e.Store.Transact(c, t)
+	err := e.writeMemberRow(c)
+	e.log.Warn("the store has lost the member row of this instance; written again", zap.Int64("written-before", int64(written)), zap.Int64("row-version", e.memberRowVersion.Load()), zap.Error(err))
+}
+
+// writeMemberRow writes the member row of this instance, and records its version.
+func (e *Entry) writeMemberRow(c context.Context) error {
+	value, err := json.Marshal(memberRow{Front: e.FrontAddress, Peer: e.PeerAddress, Zone: e.Zone, Run: e.run})
+	if err != nil {
+		return eris.Wrap(err, "encode member row")
 	}
+	r, err := e.Store.Transact(c, store.Transaction{Writes: []store.Write{{Key: store.Key{Table: ownership.FleetTable, Key: memberPrefix + e.Name}, Value: value}}})
 	if err == nil {
 		e.memberRowVersion.Store(int64(r.Version))
 	}
-	e.log.Warn("the store has lost the member row of this instance; written again", zap.Int64("written-before", int64(written)), zap.Int64("row-version", int64(r.Version)), zap.Error(err))
-}
-
-// memberTransaction returns the transaction that writes the member row of this instance.
-func (e *Entry) memberTransaction() (store.Transaction, error) {
-	value, err := json.Marshal(memberRow{Front: e.FrontAddress, Peer: e.PeerAddress, Zone: e.Zone, Run: e.run})
-	return store.Transaction{Writes: []store.Write{{Key: store.Key{Table: ownership.FleetTable, Key: memberPrefix + e.Name}, Value: value}}}, err
+	return err
 }
 
 // Deregister deletes the member row of this instance.
