--- a/coordination/ownership/claim.go
+++ b/coordination/ownership/claim.go
@@ -176,11 +176,16 @@
 	return names[:n]
 }
 
+// Weight returns the rendezvous hash of an instance for a key: the one with the highest comes first.
+func Weight(key, name string) uint64 {
+	return xxhash.Sum64String(key + "/" + name)
+}
+
 // sortByWeight sorts names by their rendezvous hash for a key, the highest first.
 func sortByWeight(key string, names []string) {
 	weights := make(map[string]uint64, len(names))
 	for _, n := range names {
-		weights[n] = xxhash.Sum64String(key + "/" + n)
+		weights[n] = Weight(key, n)
 	}
 	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(weights[b], weights[a]) })
 }
--- a/entry/suspects.go
+++ b/entry/suspects.go
@@ -8,7 +8,6 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"gentiangauge.example/gentiangauge/coordination/gossip"
@@ -47,9 +46,9 @@
 // coordinator returns the instance that grants the trials of a part: the first live one in the
 // rendezvous order of the part.
 func (e *Entry) coordinator(key string) string {
-	best, weight := e.Name, xxhash.Sum64String(key+"/"+e.Name)
+	best, weight := e.Name, ownership.Weight(key, e.Name)
 	for _, p := range e.gossip.LivePeers(e.timer.Boot()) {
-		if w := xxhash.Sum64String(key + "/" + p.Name); p.Serving && w > weight {
+		if w := ownership.Weight(key, p.Name); p.Serving && w > weight {
 			best, weight = p.Name, w
 		}
 	}
