--- a/standin/memory/memory.go
+++ b/standin/memory/memory.go
@@ -35,74 +35,14 @@
 	return &Store{era: 1, rows: map[store.Key]mirror.Row{}, changed: make(chan struct{})}
 }
 
-// RawClient returns a client of the store, to which InjectFault applies. Its versions have no era,
-// as on the wire.
-func (s *Store) RawClient() *store.Store {
-	return &store.Store{Eras: &store.Eras{}, Transact: s.transact, Read: s.read, Watch: s.watch}
+// Raw returns the calls of the store, to which InjectFault applies.
+func (s *Store) Raw() store.Raw {
+	return store.Raw{Transact: s.transact, ReadPage: s.readPage, Watch: s.watch}
 }
 
-// Client returns a client of the store, to which InjectFault applies. It learns the era from each
-// answer, as the client of the platform does.
+// Client returns a client of the store, to which InjectFault applies.
 func (s *Store) Client() *store.Store {
-	raw, e := s.RawClient(), &store.Eras{}
-	pack := func(v mirror.Version) mirror.Version { return mirror.NewVersion(e.Current(), int64(v)) }
-	packRows := func(l []mirror.Row) []mirror.Row {
-		for i := range l {
-			l[i].Version = pack(l[i].Version)
-		}
-		return l
-	}
-	return &store.Store{
-		Eras: e,
-		Transact: func(c context.Context, t store.Transaction) (store.Result, error) {
-			known, before := e.Known(), e.Current()
-			if err := t.CheckEra(before); err != nil {
-				return store.Result{}, err
-			}
-			expected := map[store.Key]mirror.Version{}
-			for k, v := range t.Expected {
-				expected[k] = mirror.Version(v.Counter())
-			}
-			t.Expected = expected
-			r, err := raw.Transact(c, t)
-			if err != nil {
-				return r, err
-			}
-			if e.Observe(s.Era()) != before && known && len(t.Expected) > 0 {
-				return store.Result{}, store.ErrRestored
-			}
-			r.Version = pack(r.Version)
-			for k, x := range r.Current {
-				if x.Version != 0 {
-					x.Version = pack(x.Version)
-					r.Current[k] = x
-				}
-			}
-			return r, nil
-		},
-		Read: func(c context.Context, table string) ([]mirror.Row, mirror.Version, error) {
-			l, v, err := raw.Read(c, table)
-			if err != nil {
-				return nil, 0, err
-			}
-			e.Observe(s.Era())
-			return packRows(l), pack(v), nil
-		},
-		Watch: func(c context.Context, table string, after mirror.Version) ([]mirror.Row, mirror.Version, error) {
-			if after.Era() != e.Current() {
-				return nil, 0, store.ErrRestored
-			}
-			l, v, err := raw.Watch(c, table, mirror.Version(after.Counter()))
-			if s.Era() != after.Era() {
-				e.Observe(s.Era())
-				return nil, 0, store.ErrRestored
-			}
-			if err != nil {
-				return nil, 0, err
-			}
-			return packRows(l), pack(v), nil
-		},
-	}
+	return store.New(&store.Eras{}, s.Raw())
 }
 
 // Copy is a copy of a store at one moment.
@@ -143,13 +83,19 @@
 	return s.InjectFault(call)
 }
 
-func (s *Store) transact(_ context.Context, t store.Transaction) (store.Result, error) {
+func (s *Store) transact(_ context.Context, t store.Transaction) (store.Result, mirror.Era, error) {
 	done, err := s.inject("transact")
 	if !done {
-		return store.Result{}, err
+		return store.Result{}, 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o := s.apply(t)
+	if err != nil {
+		// The answer is lost.
+		return o, 0, err
 	}
-	o := s.Apply(t)
-	return o, err
+	return o, s.era, nil
 }
 
 // Apply executes a transaction without calling InjectFault. Every commit increments the
@@ -158,6 +104,10 @@
 func (s *Store) Apply(t store.Transaction) store.Result {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.apply(t)
+}
+
+func (s *Store) apply(t store.Transaction) store.Result {
 	o := store.Result{Committed: true, Current: map[store.Key]mirror.Row{}}
 	for k, want := range t.Expected {
 		r := s.rows[k]
@@ -195,13 +145,14 @@
 	maps.DeleteFunc(s.rows, func(_ store.Key, r mirror.Row) bool { return r.Removed })
 }
 
-func (s *Store) read(_ context.Context, table string) ([]mirror.Row, mirror.Version, error) {
+// readPage returns all rows, as one page.
+func (s *Store) readPage(_ context.Context, table, _ string) (store.Page, mirror.Era, error) {
 	if done, err := s.inject("read"); !done || err != nil {
-		return nil, 0, err
+		return store.Page{}, 0, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.rowsSince(table, -1, false), s.version, nil
+	return store.Page{Rows: s.rowsSince(table, -1, false), Version: s.version}, s.era, nil
 }
 
 // rowsSince returns the rows of a table that changed after a version, ordered by key, with the
@@ -219,30 +170,30 @@
 
 // watch blocks until rows of the table have changed after the given version. It breaks off as the
 // store is replaced by a copy.
-func (s *Store) watch(c context.Context, table string, after mirror.Version) ([]mirror.Row, mirror.Version, error) {
+func (s *Store) watch(c context.Context, table string, after mirror.Version) ([]mirror.Row, mirror.Version, mirror.Era, error) {
 	era := s.Era()
 	for {
 		if done, err := s.inject("watch"); !done || err != nil {
-			return nil, 0, err
+			return nil, 0, 0, err
 		}
 		s.mu.Lock()
 		if s.era != era {
 			s.mu.Unlock()
-			return nil, 0, store.ErrUnavailable
+			return nil, 0, 0, store.ErrUnavailable
 		}
 		if after < s.compacted || after > s.version {
 			s.mu.Unlock()
-			return nil, 0, store.ErrCompacted
+			return nil, 0, era, store.ErrCompacted
 		}
 		rows, v, changed := s.rowsSince(table, after, true), s.version, s.changed
 		s.mu.Unlock()
 		if len(rows) > 0 {
-			return rows, v, nil
+			return rows, v, era, nil
 		}
 		select {
 		case <-changed:
 		case <-c.Done():
-			return nil, 0, store.ErrUnavailable
+			return nil, 0, 0, store.ErrUnavailable
 		}
 	}
 }
