--- a/protocol/caller/model.go
+++ b/protocol/caller/model.go
@@ -114,7 +114,8 @@
 }
 
 // requestPart returns the part that stands for the whole request: the workspace, the adapter and
-// the body. It is the same on every instance that receives the request.
+// the body. It is the same on every instance that receives the request, and begins the hash under
+// which earlier versions stored their verdicts.
 func requestPart(w lists.WorkspaceID, a lists.Adapter, body []byte) suspicion.Part {
 	h := sha256.New()
 	for _, part := range [][]byte{[]byte(w), {0}, []byte(a), {0}, body} {
