--- a/state/suspicion/ledger_test.go
+++ b/state/suspicion/ledger_test.go
@@ -137,8 +137,9 @@
 	expect(t, l, 8, suspicion.Suspected, "a")
 }
 
-// A verdict holds while such requests come, however long that is.
-func TestVerdictHoldsWhileRequestsCome(t *testing.T) {
+// convicted returns a ledger with a verdict on the part dead at time 0.
+func convicted(t *testing.T) *suspicion.Ledger {
+	t.Helper()
 	l := suspicion.NewLedger(suspectAfter)
 	for n := range 3 {
 		add(l, n, 0, parts("dead"))
@@ -146,6 +147,12 @@
 	if _, ok := l.Convict(crash(2), parts("dead"), 0); !ok {
 		t.Fatal("no verdict")
 	}
+	return l
+}
+
+// A verdict holds while such requests come, however long that is.
+func TestVerdictHoldsWhileRequestsCome(t *testing.T) {
+	l := convicted(t)
 	now := time.Duration(0)
 	for range 100 {
 		now += 50 * time.Minute
@@ -163,13 +170,7 @@
 
 // Callers send parts of one use each without end, and upstreams crash for other reasons.
 func TestPartsOfOneUseRemoveNoVerdict(t *testing.T) {
-	l := suspicion.NewLedger(suspectAfter)
-	for n := range 3 {
-		add(l, n, 0, parts("dead"))
-	}
-	if _, ok := l.Convict(crash(2), parts("dead"), 0); !ok {
-		t.Fatal("no verdict")
-	}
+	l := convicted(t)
 	for n := range 2000 {
 		var many []suspicion.Part
 		for i := range 100 {
