--- a/standin/memory/memory.go
+++ b/standin/memory/memory.go
@@ -170,30 +170,30 @@
 
 // watch blocks until rows of the table have changed after the given version. It breaks off as the
 // store is replaced by a copy.
-func (s *Store) watch(c context.Context, table string, after mirror.Version) ([]mirror.Row, mirror.Version, mirror.Era, error) {
+func (s *Store) watch(c context.Context, table string, after mirror.Version) (store.Page, mirror.Era, error) {
 	era := s.Era()
 	for {
 		if done, err := s.inject("watch"); !done || err != nil {
-			return nil, 0, 0, err
+			return store.Page{}, 0, err
 		}
 		s.mu.Lock()
 		if s.era != era {
 			s.mu.Unlock()
-			return nil, 0, 0, store.ErrUnavailable
+			return store.Page{}, 0, store.ErrUnavailable
 		}
 		if after < s.compacted || after > s.version {
 			s.mu.Unlock()
-			return nil, 0, era, store.ErrCompacted
+			return store.Page{}, era, store.ErrCompacted
 		}
 		rows, v, changed := s.rowsSince(table, after, true), s.version, s.changed
 		s.mu.Unlock()
 		if len(rows) > 0 {
-			return rows, v, era, nil
+			return store.Page{Rows: rows, Version: v}, era, nil
 		}
 		select {
 		case <-changed:
 		case <-c.Done():
-			return nil, 0, 0, store.ErrUnavailable
+			return store.Page{}, 0, store.ErrUnavailable
 		}
 	}
 }
--- a/transport/store/raw.go
+++ b/transport/store/raw.go
@@ -8,10 +8,10 @@
 	"gentiangauge.example/gentiangauge/state/mirror"
 )
 
-// Page is a part of the rows of a table.
+// Page is a part of the rows of a table, or those that have changed.
 type Page struct {
 	Rows []mirror.Row
-	// Version is the version at which the page was read.
+	// Version is the version as of which they are complete.
 	Version mirror.Version
 	// More is set if there are further rows after these.
 	More bool
@@ -23,7 +23,8 @@
 	Transact func(c context.Context, t Transaction) (Result, mirror.Era, error)
 	// ReadPage returns rows of a table, those with keys above after.
 	ReadPage func(c context.Context, table, after string) (Page, mirror.Era, error)
-	Watch    func(c context.Context, table string, after mirror.Version) ([]mirror.Row, mirror.Version, mirror.Era, error)
+	// Watch is Store.Watch.
+	Watch func(c context.Context, table string, after mirror.Version) (Page, mirror.Era, error)
 }
 
 // New returns a store whose versions have the era of the answer that they are from. It records each
@@ -129,12 +130,12 @@
 	if x := k.stated.Current(); x > after.Era() {
 		return nil, 0, eris.Wrapf(ErrRestored, "after a version of era %d in era %d", after.Era(), x)
 	}
-	rows, v, e, err := k.Watch(c, table, mirror.Version(after.Counter()))
+	p, e, err := k.Watch(c, table, mirror.Version(after.Counter()))
 	if e = k.observe(e, err); err != nil {
 		return nil, 0, err
 	}
 	if e != after.Era() {
 		return nil, 0, eris.Wrapf(ErrRestored, "after a version of era %d in era %d", after.Era(), e)
 	}
-	return rowsWithEra(e, rows), mirror.NewVersion(e, int64(v)), nil
+	return rowsWithEra(e, p.Rows), mirror.NewVersion(e, int64(p.Version)), nil
 }
--- a/transport/store/raw_test.go
+++ b/transport/store/raw_test.go
@@ -38,8 +38,8 @@
 			}
 			return store.Page{Rows: []mirror.Row{{Key: key, Version: 5}}, Version: 5, More: after == ""}, answer(), f.err
 		},
-		Watch: func(context.Context, string, mirror.Version) ([]mirror.Row, mirror.Version, mirror.Era, error) {
-			return []mirror.Row{{Key: "a", Version: 5}}, 5, answer(), f.err
+		Watch: func(context.Context, string, mirror.Version) (store.Page, mirror.Era, error) {
+			return store.Page{Rows: []mirror.Row{{Key: "a", Version: 5}}, Version: 5}, answer(), f.err
 		},
 	})
 }
