suspicion: plain names for counting crashes and for parts that crash upstreams

Names only: accuse, acquit and Convict become addCount, removeCount and Decide, and the deadly parts of tests crashing ones. Verdict and trial stay, as log lines, metrics, rows and the glossary have them.

--- a/coordination/suspect/suspect.go
+++ b/coordination/suspect/suspect.go
@@ -116,7 +116,7 @@
 	// The caller's context may end first; the verdict counts all the same.
 	c = context.WithoutCancel(c)
 	_ = r.Timer.Wait(c, reportWait)
-	v, ok := r.ledger.Convict(x, parts, r.Timer.Boot())
+	v, ok := r.ledger.Decide(x, parts, r.Timer.Boot())
 	if !ok {
 		r.Log.Info("no verdict after a trial: another request may be the cause", zap.String("upstream", x.Upstream), zap.Int64("born", x.StartedAt), zap.Stringers("parts", parts))
 		return
--- a/coordination/suspect/suspect_test.go
+++ b/coordination/suspect/suspect_test.go
@@ -132,7 +132,7 @@
 	}
 }
 
-// A deadly request goes on coming for longer than its verdict is stored. Instances that start then
+// A request that crashes upstreams goes on coming for longer than its verdict is stored. Instances that start then
 // must find the verdict; one that blocks nothing any more expires at each instance.
 func TestVerdictIsStoredForAsLongAsItBlocks(t *testing.T) {
 	f := newFleet()
--- a/protocol/dispatch/crash_test.go
+++ b/protocol/dispatch/crash_test.go
@@ -15,15 +15,15 @@
 	"gentiangauge.example/gentiangauge/transport/relay"
 )
 
-var deadlyParts = []suspicion.Part{1, 2}
+var crashingParts = []suspicion.Part{1, 2}
 
-// newCrashHarness returns a harness in which two upstreams have crashed with deadlyParts, so that
+// newCrashHarness returns a harness in which two upstreams have crashed with crashingParts, so that
 // requests with them are suspected.
 func newCrashHarness(upstreams int) *harness {
 	b := newHarness(upstreams)
-	b.parts, b.ended, b.trial = deadlyParts, true, true
+	b.parts, b.ended, b.trial = crashingParts, true, true
 	for i := range 2 {
-		b.suspects.RecordCrash(context.Background(), suspicion.Crash{Upstream: string(rune('x' + i)), StartedAt: 1}, deadlyParts, false)
+		b.suspects.RecordCrash(context.Background(), suspicion.Crash{Upstream: string(rune('x' + i)), StartedAt: 1}, crashingParts, false)
 	}
 	return b
 }
@@ -64,10 +64,10 @@
 func TestRetriesAndResumedStreamsAreChecked(t *testing.T) {
 	for text, want := range map[string]error{"id: 1\nda": nil, "id: 1\ndata: a\n\nid: 2\nda": dispatch.ErrTruncated} {
 		b := newHarness(3)
-		b.parts = append([]suspicion.Part{3}, deadlyParts...)
+		b.parts = append([]suspicion.Part{3}, crashingParts...)
 		b.respond = func(int, dispatch.UpstreamRequest) (*dispatch.Response, error) {
 			x := suspicion.VerdictID{Crash: suspicion.Crash{Upstream: "x"}, Lead: 1}
-			b.suspects.Merge(suspicion.Verdict{VerdictID: x, Parts: deadlyParts}, "test")
+			b.suspects.Merge(suspicion.Verdict{VerdictID: x, Parts: crashingParts}, "test")
 			return stream(text, true), nil
 		}
 		_, err := b.serve("/chat/x")
@@ -91,7 +91,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := newHarness(1)
-			b.parts = deadlyParts
+			b.parts = crashingParts
 			b.respond = func(int, dispatch.UpstreamRequest) (*dispatch.Response, error) {
 				prepare(b)
 				return nil, relay.ErrConnectionBroken
@@ -105,7 +105,7 @@
 				}
 				_, _ = b.serve("/chat/x")
 			}
-			if s, _ := b.suspects.Status(deadlyParts); s != suspicion.Clean || len(b.sends) < 3 {
+			if s, _ := b.suspects.Status(crashingParts); s != suspicion.Clean || len(b.sends) < 3 {
 				t.Errorf("the request is %v after %d sends", s, len(b.sends))
 			}
 		})
@@ -123,7 +123,7 @@
 		b.ended = false
 		b.respond = func(int, dispatch.UpstreamRequest) (*dispatch.Response, error) { return stream(text, true), nil }
 		_, _ = b.serve("/once/x")
-		if s, _ := b.suspects.Status(deadlyParts); s != want {
+		if s, _ := b.suspects.Status(crashingParts); s != want {
 			t.Errorf("after %q the request is %v, want %v", text, s, want)
 		}
 	}
@@ -134,7 +134,7 @@
 	if _, err := b.serve("/look/x"); err != nil {
 		t.Fatal(err)
 	}
-	if s, _ := b.suspects.Status(deadlyParts); s != suspicion.Clean {
+	if s, _ := b.suspects.Status(crashingParts); s != suspicion.Clean {
 		t.Errorf("after a complete response the request is %v", s)
 	}
 	if u, ok := b.pool.Get(pool.ID("s0"), b.timer.Boot()); !ok || u.ID != "s0" {
@@ -153,7 +153,7 @@
 		b.load = func() (time.Duration, error) {
 			time.AfterFunc(20*time.Millisecond, func() {
 				x := suspicion.VerdictID{Crash: suspicion.Crash{Upstream: "x", StartedAt: 1}, Lead: 1}
-				b.suspects.Merge(suspicion.Verdict{VerdictID: x, Parts: deadlyParts}, "test")
+				b.suspects.Merge(suspicion.Verdict{VerdictID: x, Parts: crashingParts}, "test")
 			})
 			return load()
 		}
--- a/state/suspicion/fleet_test.go
+++ b/state/suspicion/fleet_test.go
@@ -20,8 +20,8 @@
 	repeatTime = 4 * time.Second
 	downTime   = 3 * time.Second
 	// silence is the time after which an instance is taken for gone.
-	silence = 1500 * time.Millisecond
-	deadly  = "dead"
+	silence  = 1500 * time.Millisecond
+	crashing = "dead"
 )
 
 // node is a simulated instance.
@@ -65,7 +65,7 @@
 	// stored are the verdicts in the store.
 	stored []suspicion.Verdict
 	// crashes has the times of crashes by requests, arrivals those of the requests with the
-	// deadly part that instances without faults sent.
+	// crashing part that instances without faults sent.
 	crashes, arrivals []time.Duration
 	sent, denied      int
 }
@@ -117,7 +117,7 @@
 	case suspicion.Clean:
 		f.send(s)
 	case suspicion.Blocked:
-		if !slices.Contains(names, deadly) {
+		if !slices.Contains(names, crashing) {
 			f.denied++
 		}
 	case suspicion.Suspected:
@@ -147,7 +147,7 @@
 		if e.down {
 			return
 		}
-		if slices.Contains(s.names, deadly) && !s.node.Excused(f.Now) {
+		if slices.Contains(s.names, crashing) && !s.node.Excused(f.Now) {
 			f.arrivals = append(f.arrivals, f.Now)
 		}
 		e.pending = append(e.pending, s)
@@ -155,7 +155,7 @@
 		f.After(f.Between(50, 600), func() {
 			switch {
 			case e.startedAt != startedAt:
-			case slices.Contains(s.names, deadly):
+			case slices.Contains(s.names, crashing):
 				f.crashes = append(f.crashes, f.Now)
 				f.crash(e)
 			default:
@@ -224,7 +224,7 @@
 		return
 	}
 	f.At(&n.Node, 100*time.Millisecond, func() {
-		if v, ok := n.ledger.Convict(x, parts(s.names...), f.Now); ok {
+		if v, ok := n.ledger.Decide(x, parts(s.names...), f.Now); ok {
 			f.announce(n, func(o *node) { o.ledger.Merge(v, f.Now) })
 			if !n.Cut {
 				f.stored = append(f.stored, v)
@@ -278,13 +278,13 @@
 	}
 }
 
-// load sends rate requests a second, one in twenty of them with the deadly part after two seconds.
+// load sends rate requests a second, one in twenty of them with the crashing part after two seconds.
 func (f *fleet) load(rate float64) {
 	f.After(time.Duration(f.Random.ExpFloat64()/rate*float64(time.Second)), func() { f.load(rate) })
 	n := f.nodes[f.Random.IntN(len(f.nodes))]
 	names := []string{fmt.Sprint("shared", f.Random.IntN(3)), fmt.Sprint("subject", f.Random.IntN(270))}
 	if f.Now > 2*time.Second && f.Random.IntN(20) == 0 {
-		names = append(names[:1], "subject7", deadly)
+		names = append(names[:1], "subject7", crashing)
 	}
 	f.sent++
 	f.At(&n.Node, 0, func() { f.request(n, names) })
@@ -306,17 +306,17 @@
 		}
 	}
 	if late > toleratedSends {
-		f.t.Errorf("%s: %d requests with the deadly part arrived later than %v after the fifth of %d crashes", what, late, contact, len(f.crashes))
+		f.t.Errorf("%s: %d requests with the crashing part arrived later than %v after the fifth of %d crashes", what, late, contact, len(f.crashes))
 	}
 	if f.denied > 5+f.sent/500 {
 		f.t.Errorf("%s: %d of %d requests were blocked though they are sound", what, f.denied, f.sent)
 	}
 }
 
-// TestDeadlyPartIsBlockedThroughFaults sends requests with a part that crashes engines to a fleet
+// TestCrashingPartIsBlockedThroughFaults sends requests with a part that crashes engines to a fleet
 // whose instances restart, freeze and are cut off, whose messages get lost and whose engines crash
 // for other reasons too.
-func TestDeadlyPartIsBlockedThroughFaults(t *testing.T) {
+func TestCrashingPartIsBlockedThroughFaults(t *testing.T) {
 	for _, k := range []struct {
 		size, engines int
 		seeds         uint64
--- a/state/suspicion/ledger.go
+++ b/state/suspicion/ledger.go
@@ -108,15 +108,15 @@
 		at, sound := l.soundAt[p]
 		x.parts[p] = !sound || at < x.knownAt
 		if x.parts[p] {
-			l.accuse(x, p)
+			l.addCount(x, p)
 		}
 		changed = true
 	}
 	return changed
 }
 
-// accuse counts a crash for a part.
-func (l *Ledger) accuse(x *crash, p Part) {
+// addCount counts a crash for a part.
+func (l *Ledger) addCount(x *crash, p Part) {
 	l.standing[p]++
 	switch {
 	case l.inVerdict(p):
@@ -126,8 +126,8 @@
 	}
 }
 
-// acquit stops counting a crash for a part.
-func (l *Ledger) acquit(x *crash, p Part) {
+// removeCount stops counting a crash for a part.
+func (l *Ledger) removeCount(x *crash, p Part) {
 	if l.standing[p]--; l.standing[p] == 0 {
 		delete(l.standing, p)
 	}
@@ -167,7 +167,7 @@
 	x := l.crashes[k]
 	for p, suspect := range x.parts {
 		if suspect {
-			l.acquit(x, p)
+			l.removeCount(x, p)
 		}
 	}
 	delete(l.crashes, k)
@@ -267,7 +267,7 @@
 	for _, x := range l.crashes {
 		if x.parts[p] {
 			x.parts[p], found = false, true
-			l.acquit(x, p)
+			l.removeCount(x, p)
 		}
 	}
 	for _, v := range l.verdicts {
@@ -279,11 +279,11 @@
 	return found
 }
 
-// Convict returns the verdict on a request that was sent although it was suspected, after the
+// Decide returns the verdict on a request that was sent although it was suspected, after the
 // upstream crashed. The cause is among the parts of the request that have the most crashes. It
 // returns false if a part of other requests on that upstream has as many, because the request
 // may then be sound.
-func (l *Ledger) Convict(x Crash, parts []Part, now time.Duration) (Verdict, bool) {
+func (l *Ledger) Decide(x Crash, parts []Part, now time.Duration) (Verdict, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	k, ok := l.crashes[x]
--- a/state/suspicion/ledger_test.go
+++ b/state/suspicion/ledger_test.go
@@ -69,7 +69,7 @@
 	for n := range 3 {
 		add(l, n, 1, parts("rare", "dead"))
 	}
-	v, ok := l.Convict(crash(2), parts("rare", "dead"), 2)
+	v, ok := l.Decide(crash(2), parts("rare", "dead"), 2)
 	if !ok || len(v.Parts) != 2 {
 		t.Fatalf("verdict %v, %v; want one of both parts", v, ok)
 	}
@@ -90,10 +90,10 @@
 	add(l, 2, 1, parts("sound"))
 	add(l, 3, 1, parts("sound"))
 	add(l, 4, 1, parts("sound"), parts("dead"))
-	if v, ok := l.Convict(crash(4), parts("sound"), 2); ok {
+	if v, ok := l.Decide(crash(4), parts("sound"), 2); ok {
 		t.Errorf("verdict %v on the request that another one explains", v)
 	}
-	if _, ok := l.Convict(crash(4), parts("dead"), 2); !ok {
+	if _, ok := l.Decide(crash(4), parts("dead"), 2); !ok {
 		t.Error("no verdict on the cause")
 	}
 	expect(t, l, 3, suspicion.Clean, "sound")
@@ -105,7 +105,7 @@
 	for n := range 3 {
 		add(l, n, 1, parts("sound"))
 	}
-	v, ok := l.Convict(crash(2), parts("sound"), 2)
+	v, ok := l.Decide(crash(2), parts("sound"), 2)
 	if !ok {
 		t.Fatal("no verdict")
 	}
@@ -137,14 +137,14 @@
 	expect(t, l, 8, suspicion.Suspected, "a")
 }
 
-// convicted returns a ledger with a verdict on the part dead at time 0.
-func convicted(t *testing.T) *suspicion.Ledger {
+// decided returns a ledger with a verdict on the part dead at time 0.
+func decided(t *testing.T) *suspicion.Ledger {
 	t.Helper()
 	l := suspicion.NewLedger(suspectAfter)
 	for n := range 3 {
 		add(l, n, 0, parts("dead"))
 	}
-	if _, ok := l.Convict(crash(2), parts("dead"), 0); !ok {
+	if _, ok := l.Decide(crash(2), parts("dead"), 0); !ok {
 		t.Fatal("no verdict")
 	}
 	return l
@@ -152,7 +152,7 @@
 
 // A verdict holds while such requests come, however long that is.
 func TestVerdictHoldsWhileRequestsCome(t *testing.T) {
-	l := convicted(t)
+	l := decided(t)
 	now := time.Duration(0)
 	for range 100 {
 		now += 50 * time.Minute
@@ -170,7 +170,7 @@
 
 // Callers send parts of one use each without end, and upstreams crash for other reasons.
 func TestPartsOfOneUseRemoveNoVerdict(t *testing.T) {
-	l := convicted(t)
+	l := decided(t)
 	for n := range 2000 {
 		var many []suspicion.Part
 		for i := range 100 {
