software, dispatch: log the software versions between which streams go on

Nothing in logs or metrics told within a response from across requests, or which versions met. Rows of upstreams are now logged with their software version, a line 'stream goes on' has both ends of a break, and a counter has the ways.

No decision changes.

--- a/entry/row_sync.go
+++ b/entry/row_sync.go
@@ -12,6 +12,7 @@
 	"gentiangauge.example/gentiangauge/state/mirror"
 	"gentiangauge.example/gentiangauge/state/pool"
 	"gentiangauge.example/gentiangauge/state/reader"
+	"gentiangauge.example/gentiangauge/state/software"
 	"gentiangauge.example/gentiangauge/transport/mesh"
 )
 
@@ -39,12 +40,13 @@
 	present   bool
 	draining  bool
 	startedAt int64
+	software  software.Version
 	address   string
 	models    int
 }
 
 func newListing(u pool.Upstream) listing {
-	return listing{present: true, draining: u.Draining, startedAt: u.StartedAt, address: u.Address, models: len(u.Models)}
+	return listing{present: true, draining: u.Draining, startedAt: u.StartedAt, software: u.Software, address: u.Address, models: len(u.Models)}
 }
 
 // chooseReader decides whether this instance reads the tables from the store.
--- a/entry/rows.go
+++ b/entry/rows.go
@@ -136,7 +136,7 @@
 		u.RowVersion = r.Version
 		if record(r, newListing(u)) {
 			log("upstream", zap.String("id", r.Key), zap.String("service", string(u.Service)), zap.String("address", u.Address),
-				zap.Bool("draining", u.Draining), zap.Int64("born", u.StartedAt), zap.Int64("row-version", int64(r.Version)))
+				zap.Bool("draining", u.Draining), zap.Int64("born", u.StartedAt), zap.String("software", string(u.Software)), zap.Int64("row-version", int64(r.Version)))
 		}
 		if settlesIn > 0 {
 			e.pool.PutUnconfirmed(u, now, now+settlesIn+expiryTime)
--- a/protocol/dispatch/dispatch.go
+++ b/protocol/dispatch/dispatch.go
@@ -47,8 +47,10 @@
 	OutputTokens int
 	// Parts are the parts of the prompt that other requests may share.
 	Parts []suspicion.Part
-	// ResumeAfter is the id of the last event that the caller has received.
+	// ResumeAfter is the id of the last event that the caller has received, and Resumes the ID of
+	// the request that brought its first one.
 	ResumeAfter string
+	Resumes     string
 	// Arrived is the instant at which the request arrived. Timeout is how long the
 	// caller waits from then, or 0 if it does not say.
 	Arrived time.Duration
@@ -205,6 +207,8 @@
 	// started is set once a part of a response has been sent to the caller.
 	started   bool
 	lastEvent string
+	// begunAt is the upstream that wrote the first event of the response.
+	begunAt pool.Upstream
 	// sentAs is the way of the present send.
 	sentAs string
 	// events is the number of events of the present send that have arrived.
@@ -279,6 +283,21 @@
 	return func() { close(done); stop() }
 }
 
+// recordStream logs and counts a stream that goes on, with the software versions of the upstreams.
+func (d *Dispatcher) recordStream(j *job) {
+	u := j.choice.Upstream
+	if !j.started {
+		j.begunAt = u
+	}
+	if j.lastEvent == "" {
+		return
+	}
+	d.Metrics.countContinued(j.sentAs)
+	d.Log.Info("stream goes on", zap.String("request", j.ID), zap.String("resumes", j.Resumes), zap.String("way", j.sentAs), zap.String("last-event", j.lastEvent),
+		zap.String("begun-at", string(j.begunAt.ID)), zap.String("begun-software", string(j.begunAt.Software)),
+		zap.String("upstream", string(u.ID)), zap.Int64("born", u.StartedAt), zap.String("software", string(u.Software)))
+}
+
 // versionFields returns log fields with the versions of the configuration and upstream
 // rows that were used for a request, and how long ago these were last confirmed to be
 // current.
--- a/protocol/dispatch/forward.go
+++ b/protocol/dispatch/forward.go
@@ -91,6 +91,7 @@
 				if !first() {
 					return d.handleTruncation(c, j, err)
 				}
+				d.recordStream(j)
 			}
 			if j.events += countEvents(pending[:complete]); j.events >= soundEvents {
 				d.recordSound(c, j)
--- a/protocol/dispatch/metrics.go
+++ b/protocol/dispatch/metrics.go
@@ -18,6 +18,8 @@
 	limitedSends *prometheus.CounterVec
 	// breaks counts the connections that broke during a request.
 	breaks *prometheus.CounterVec
+	// continued counts the streams that went on after a break.
+	continued *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics of a dispatcher.
@@ -37,7 +39,10 @@
 	m.breaks = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "gentiangauge_dispatch_breaks_total", Help: "Connections that broke during a request, by whether the upstream has ended.",
 	}, []string{"ended"})
-	r.MustRegister(m.refusals, m.firstParts, m.limitedSends, m.breaks)
+	m.continued = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "gentiangauge_dispatch_streams_continued_total", Help: "Streams that went on after a break, by way: resume within one response, first or retry for a request that takes a stream up.",
+	}, []string{"way"})
+	r.MustRegister(m.refusals, m.firstParts, m.limitedSends, m.breaks, m.continued)
 	return m
 }
 
@@ -53,6 +58,10 @@
 	m.breaks.WithLabelValues(strconv.FormatBool(ended)).Inc()
 }
 
+func (m *Metrics) countContinued(way string) {
+	m.continued.WithLabelValues(way).Inc()
+}
+
 func (m *Metrics) observeFirstPart(k route.Kind, d time.Duration) {
 	m.firstParts.WithLabelValues(k.String()).Observe(d.Seconds())
 }
--- a/state/pool/pool.go
+++ b/state/pool/pool.go
@@ -11,6 +11,7 @@
 
 	"gentiangauge.example/gentiangauge/state/mirror"
 	"gentiangauge.example/gentiangauge/state/route"
+	"gentiangauge.example/gentiangauge/state/software"
 )
 
 // ID identifies an upstream. Some upstreams keep their ID across restarts.
@@ -58,8 +59,10 @@
 	Zone    string
 	// RowVersion is the version of that row.
 	RowVersion mirror.Version
-	// StartedAt is the start time of the upstream's process in Unix milliseconds.
+	// StartedAt is the start time of the upstream's process in Unix milliseconds, Software the
+	// version of what it runs.
 	StartedAt int64
+	Software  software.Version
 	Slots     int
 	// Draining upstreams take no new requests.
 	Draining bool
