--- /dev/null
+++ b/protocol/dispatch/software_test.go
@@ -0,0 +1,62 @@
+package dispatch_test
+
+import (
+	"errors"
+	"net/http"
+	"testing"
+
+	"gentiangauge.example/gentiangauge/protocol/dispatch"
+	"gentiangauge.example/gentiangauge/state/pool"
+	"gentiangauge.example/gentiangauge/state/software"
+)
+
+// setSoftware has the engines e0, e1 and so on run software of the versions.
+func (b *harness) setSoftware(versions ...software.Version) {
+	for i, v := range versions {
+		u, _ := b.pool.Get(pool.ID("e"+string(rune('0'+i))), b.timer.Boot())
+		u.Software = v
+		b.pool.Put(u)
+	}
+}
+
+// breakFirst has the first send break off, after which the engines that run the same software are
+// busy. It returns the upstreams of both sends.
+func (b *harness) breakFirst(t *testing.T) (first, second pool.Upstream) {
+	b.respond = func(n int, s dispatch.UpstreamRequest) (*dispatch.Response, error) {
+		if n > 1 {
+			second = s.Upstream
+			return stream(secondHalf, false), nil
+		}
+		first = s.Upstream
+		for _, u := range b.pool.Upstreams(b.timer.Boot()) {
+			if u.Software == first.Software {
+				b.pool.Begin(u.ID, adapter, pool.Usage{Running: 40, PrefillTokens: 10_000})
+			}
+		}
+		return stream(firstHalf, true), nil
+	}
+	if w, err := b.serve("/chat/x"); err != nil && !errors.Is(err, dispatch.ErrTruncated) || w.Code != http.StatusOK {
+		t.Fatalf("status %d, %v", w.Code, err)
+	}
+	return first, second
+}
+
+// A stream breaks off, and the engines with the least load run other software than the one that
+// began it.
+func TestStreamIsResumedAtItsSoftwareVersion(t *testing.T) {
+	b := newHarness(4)
+	b.setSoftware("v1", "v2", "v1", "v2")
+	if first, second := b.breakFirst(t); first.Software != second.Software || first.ID == second.ID {
+		t.Errorf("begun at %s with software %q, resumed at %s with %q", first.ID, first.Software, second.ID, second.Software)
+	}
+}
+
+// A stream breaks off, and no other engine runs the software that began it.
+func TestStreamIsCutWithoutUpstreamsOfItsSoftwareVersion(t *testing.T) {
+	b := newHarness(3)
+	b.setSoftware("v1", "v2", "v3")
+	if first, second := b.breakFirst(t); second.ID != "" {
+		t.Errorf("begun with software %q, resumed with %q", first.Software, second.Software)
+	}
+}
+
