dispatch, streams: a stream goes on only at the software version that began it

Cause: the upstream for the rest of a stream was chosen by load alone, and nobody knew what had begun a stream that a caller takes up. An instance forgot it with the request, and nothing told the others.

Fix: a row for each service assigns its streams, in 64 slots by adapter, to the versions of its upstreams, in proportion. New streams begin at the version of their slot, so that any instance can tell it from the request, also with the store away and after a kill of all. Streams that began otherwise, or whose slot was assigned less than 3 s plus the route's timeout ago, are in a row of their instance. What neither tells is refused as unknown at once. Services with one version have one row and cost nothing else. Ruled out: a record of each stream (30 to 200 writes a second at 195 instances, nothing known with the store away); a hash of the request's id (each version would hold each adapter).

--- /dev/null
+++ b/coordination/streams/record.go
@@ -0,0 +1,239 @@
+package streams
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"gentiangauge.example/gentiangauge/state/mirror"
+	"gentiangauge.example/gentiangauge/state/route"
+	"gentiangauge.example/gentiangauge/state/software"
+	"gentiangauge.example/gentiangauge/transport/store"
+)
+
+const (
+	// recordInterval is the minimum time between two writes of the records of an instance, recordPerPeer
+	// the time for each other instance: all of them write while a split is new.
+	recordInterval = 100 * time.Millisecond
+	recordPerPeer  = 5 * time.Millisecond
+	// urgentInterval is the minimum time between two writes of records of which at least one would be
+	// taken to have begun at another version without it.
+	urgentInterval = 20 * time.Millisecond
+	// maxRecords bounds the records of an instance, whose row has at most 64 KiB.
+	maxRecords = 2000
+	// readInterval is the age up to which records that were read are used for streams that are not
+	// among them.
+	readInterval = 50 * time.Millisecond
+	// recordLifetime is the age of a row of records from which on any instance removes it.
+	recordLifetime = 2 * time.Minute
+)
+
+// recordRow is the row of the streams that one instance has begun. Each stream is its ID in
+// hexadecimal and the index of its version.
+type recordRow struct {
+	WrittenMs int64             `json:"written-ms"`
+	Versions  []string          `json:"versions"`
+	Streams   map[string]uint16 `json:"streams"`
+}
+
+// splitRow is the row of a split. The lists Slots and SinceMs have an element for each slot.
+type splitRow struct {
+	Versions []string `json:"versions"`
+	Slots    []int    `json:"slots"`
+	SinceMs  []int64  `json:"since-ms"`
+}
+
+var errSplitShape = eris.New("the split has the wrong number of slots or names a version that is not listed")
+
+func encodeSplit(s software.Split) ([]byte, error) {
+	m, index := splitRow{}, map[software.Version]int{}
+	for _, a := range s {
+		i, ok := index[a.Version]
+		if !ok {
+			i = len(m.Versions)
+			index[a.Version] = i
+			m.Versions = append(m.Versions, string(a.Version))
+		}
+		m.Slots, m.SinceMs = append(m.Slots, i), append(m.SinceMs, a.Since.Milliseconds())
+	}
+	return json.Marshal(m)
+}
+
+func decodeSplit(value []byte) (software.Split, error) {
+	var s software.Split
+	var m splitRow
+	if err := json.Unmarshal(value, &m); err != nil {
+		return s, eris.Wrap(err, "decode split")
+	}
+	if len(m.Slots) != len(s) || len(m.SinceMs) != len(s) {
+		return s, errSplitShape
+	}
+	for i, v := range m.Slots {
+		if v < 0 || v >= len(m.Versions) || m.Versions[v] == "" {
+			return s, errSplitShape
+		}
+		s[i] = software.Assignment{Version: software.Version(m.Versions[v]), Since: time.Duration(m.SinceMs[i]) * time.Millisecond}
+	}
+	return s, nil
+}
+
+// records are the records of all instances as they were last read.
+type records struct {
+	mu       sync.Mutex
+	versions map[software.StreamID]software.Version
+	readAt   time.Duration
+}
+
+func newRecords() records { return records{versions: map[software.StreamID]software.Version{}} }
+
+// findRecord returns the recorded version of a stream. Calls at the same time share one read.
+func (r *Registry) findRecord(c context.Context, id software.StreamID) (software.Version, bool) {
+	k := &r.records
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if v, ok := k.versions[id]; ok {
+		return v, true
+	}
+	if now := r.Timer.Boot(); k.readAt == 0 || now-k.readAt >= readInterval {
+		r.readRecords(c)
+	}
+	v, ok := k.versions[id]
+	return v, ok
+}
+
+// readRecords replaces the known records by those in the store, and removes the rows of instances that
+// have not written for long.
+func (r *Registry) readRecords(c context.Context) {
+	x, cancel := context.WithTimeout(c, callTimeout)
+	defer cancel()
+	rows, _, err := r.Store.Read(x, r.RecordTable)
+	r.records.readAt = r.Timer.Boot()
+	if err != nil {
+		r.Log.Warn("could not read the records of streams; the known ones are used", zap.Error(err))
+		return
+	}
+	r.records.versions = map[software.StreamID]software.Version{}
+	r.mu.Lock()
+	now := r.storeTime()
+	r.mu.Unlock()
+	for _, row := range rows {
+		m, err := r.records.add(row.Value)
+		if err != nil {
+			r.Log.Error("cannot decode records of streams", zap.String("key", row.Key), zap.Error(err))
+			continue
+		}
+		if row.Key != r.key && now-time.Duration(m.WrittenMs)*time.Millisecond > recordLifetime {
+			r.removeRecords(x, row.Key, row.Version)
+		}
+	}
+}
+
+func (k *records) add(value []byte) (recordRow, error) {
+	var m recordRow
+	if err := json.Unmarshal(value, &m); err != nil {
+		return m, err
+	}
+	for text, i := range m.Streams {
+		id, err := strconv.ParseUint(text, 16, 64)
+		if err != nil || int(i) >= len(m.Versions) {
+			return m, eris.Errorf("stream %.40q with version %d of %d", text, i, len(m.Versions))
+		}
+		k.versions[software.StreamID(id)] = software.Version(m.Versions[i])
+	}
+	return m, nil
+}
+
+func (r *Registry) removeRecords(c context.Context, key string, version mirror.Version) {
+	k := store.Key{Table: r.RecordTable, Key: key}
+	if _, err := r.Store.Transact(c, store.Transaction{Expected: map[store.Key]mirror.Version{k: version}, Deletes: []store.Key{k}}); err != nil {
+		r.Log.Warn("could not remove records of streams", zap.String("key", key), zap.Error(err))
+	}
+}
+
+// writeRecords writes the streams whose version does not follow from the split of their service, until
+// c ends.
+func (r *Registry) writeRecords(c context.Context) {
+	var written map[software.StreamID]software.Version
+	for c.Err() == nil {
+		select {
+		case <-r.changed:
+		case <-r.urgent:
+		case <-c.Done():
+			return
+		}
+		list := r.unplanned()
+		if hasNew(list, written) {
+			if err := r.writeRow(c, list); err != nil {
+				r.Log.Warn("could not write records of streams", zap.Int("streams", len(list)), zap.Error(err))
+				notify(r.changed)
+			} else {
+				written = list
+			}
+		}
+		_ = r.Timer.Wait(c, urgentInterval)
+		n, stop := r.Timer.Notify(max(recordInterval, recordPerPeer*time.Duration(r.PeerCount())) - urgentInterval)
+		select {
+		case <-n:
+		case <-r.urgent:
+			notify(r.changed)
+		case <-c.Done():
+		}
+		stop()
+	}
+}
+
+// hasNew reports whether a list has a stream that was not written as it is.
+func hasNew(list, written map[software.StreamID]software.Version) bool {
+	for id, v := range list {
+		if written[id] != v {
+			return true
+		}
+	}
+	return false
+}
+
+// unplanned returns the newest streams that need a record.
+func (r *Registry) unplanned() map[software.StreamID]software.Version {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now, lifetimes := r.Timer.Boot(), r.Lifetimes()
+	out := map[software.StreamID]software.Version{}
+	for _, x := range r.begun.Since(0) {
+		if len(out) >= maxRecords {
+			break
+		}
+		if now-x.BegunAt <= lifetimes[route.ServiceName(x.Service)] && r.needsRecord(x) {
+			out[x.ID] = x.Version
+		}
+	}
+	return out
+}
+
+func (r *Registry) writeRow(c context.Context, list map[software.StreamID]software.Version) error {
+	r.mu.Lock()
+	m := recordRow{WrittenMs: r.storeTime().Milliseconds(), Streams: make(map[string]uint16, len(list))}
+	r.mu.Unlock()
+	index := map[software.Version]uint16{}
+	for id, v := range list {
+		i, ok := index[v]
+		if !ok {
+			i = uint16(len(m.Versions))
+			index[v] = i
+			m.Versions = append(m.Versions, string(v))
+		}
+		m.Streams[strconv.FormatUint(uint64(id), 16)] = i
+	}
+	value, err := json.Marshal(m)
+	if err != nil {
+		return eris.Wrap(err, "encode records of streams")
+	}
+	x, cancel := context.WithTimeout(c, callTimeout)
+	defer cancel()
+	_, err = r.Store.Transact(x, store.Transaction{Writes: []store.Write{{Key: store.Key{Table: r.RecordTable, Key: r.key}, Value: value}}})
+	return err
+}
--- /dev/null
+++ b/coordination/streams/streams.go
@@ -0,0 +1,305 @@
+// Package streams tells at which software version each stream began that a caller may still take up.
+//
+// A row of the store for each service assigns its streams to the software versions of its upstreams
+// (software.Split), so that the version follows from the request itself. Streams that began otherwise,
+// or whose assignment has changed lately, are written to a row of the instance that began them.
+package streams
+
+import (
+	"context"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"gentiangauge.example/gentiangauge/state/mirror"
+	"gentiangauge.example/gentiangauge/state/route"
+	"gentiangauge.example/gentiangauge/state/software"
+	"gentiangauge.example/gentiangauge/timer"
+	"gentiangauge.example/gentiangauge/transport/store"
+)
+
+const (
+	// SplitPrefix is the prefix of the keys of splits in the fleet table.
+	SplitPrefix = "software."
+	// learnTime is the time within which all instances know a changed split. Instances that were
+	// frozen learn it soon after, and record the streams that they began meanwhile.
+	learnTime = 3 * time.Second
+	// splitInterval is the minimum time between two writes of the split of a service, substituteDelay
+	// the time after which any instance writes one that the responsible instance has not written.
+	splitInterval   = time.Second
+	substituteDelay = 3 * time.Second
+	stepInterval    = 250 * time.Millisecond
+	callTimeout     = 500 * time.Millisecond
+)
+
+// Services are the dependencies of a Registry.
+type Services struct {
+	Timer *timer.Service
+	Log   *zap.Logger
+	// Lifetimes returns, for each service with streams that may be taken up, how long after their
+	// begin that may be.
+	Lifetimes func() map[route.ServiceName]time.Duration
+	// Serving returns the number of upstreams of a service that serve, by stated version.
+	Serving func(s route.ServiceName) map[software.Version]int
+	// Ready reports whether this instance knows the upstreams and the splits.
+	Ready func() bool
+	// Responsible reports whether this instance is the one that writes splits.
+	Responsible func() bool
+	// PeerCount returns the number of other instances.
+	PeerCount func() int
+	// StoreReachable reports whether calls to the store have succeeded lately.
+	StoreReachable func() bool
+	// FleetTable is the table of splits, which all instances watch. RecordTable is the one of records.
+	FleetTable, RecordTable string
+	Store                   *store.Store
+}
+
+// split is the split of a service as its row has it.
+type split struct {
+	software.Split
+	// version is that of the row, or 0 if the store has no row or an older split.
+	version mirror.Version
+	// lacking is set while the store has not this split.
+	lacking bool
+	// neededSince is when another split was first found to be needed, or 0, and triedAt when it was
+	// last written.
+	neededSince, triedAt time.Duration
+}
+
+// Registry has the splits of all services and the streams of this instance. It is safe for concurrent
+// use.
+type Registry struct {
+	Services
+	key string
+	mu  sync.Mutex
+	// splits has an entry for each service that was asked for or has a row.
+	splits map[route.ServiceName]*split
+	begun  *software.Streams
+	// storeAhead is the time of the store less that of the timer, if storeTimeKnown is set.
+	storeAhead     time.Duration
+	storeTimeKnown bool
+	records        records
+	// changed has an element while the records may have to be written, urgent while that must not wait.
+	changed, urgent chan struct{}
+}
+
+// New returns the Registry of a run of an instance.
+func New(key string, s Services) *Registry {
+	s.Log = s.Log.Named("streams")
+	return &Registry{
+		Services: s, key: key, splits: map[route.ServiceName]*split{}, begun: software.NewStreams(),
+		changed: make(chan struct{}, 1), urgent: make(chan struct{}, 1), records: newRecords(),
+	}
+}
+
+func notify(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// ObserveStoreTime records the time of the store in an answer that has just arrived.
+func (r *Registry) ObserveStoreTime(t time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.storeAhead, r.storeTimeKnown = t-r.Timer.Boot(), true
+}
+
+// storeTime returns the time of the store, or 0 if it is not known.
+func (r *Registry) storeTime() time.Duration {
+	if !r.storeTimeKnown {
+		return 0
+	}
+	return r.Timer.Boot() + r.storeAhead
+}
+
+func (r *Registry) split(s route.ServiceName) *split {
+	x, ok := r.splits[s]
+	if !ok {
+		x = &split{}
+		r.splits[s] = x
+	}
+	return x
+}
+
+// settleTime is the time after which all streams that may be taken up began under an assignment.
+func (r *Registry) settleTime(s route.ServiceName) time.Duration {
+	return learnTime + r.Lifetimes()[s]
+}
+
+// ApplyRows applies rows of the fleet table; those that are not splits are ignored. A split that is
+// older than the known one comes from a copy of the store, and is written again.
+func (r *Registry) ApplyRows(rows []mirror.Row) {
+	for _, row := range rows {
+		name, ok := strings.CutPrefix(row.Key, SplitPrefix)
+		if !ok {
+			continue
+		}
+		var known software.Split
+		if !row.Removed {
+			var err error
+			if known, err = decodeSplit(row.Value); err != nil {
+				r.Log.Error("cannot decode split; the previous one stays in force", zap.String("key", row.Key), zap.Error(err))
+				continue
+			}
+		}
+		r.apply(route.ServiceName(name), known, row)
+	}
+}
+
+func (r *Registry) apply(s route.ServiceName, known software.Split, row mirror.Row) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	x := r.split(s)
+	if row.Version < x.version {
+		return
+	}
+	x.version, x.lacking = row.Version, false
+	if row.Removed {
+		x.version = 0
+	}
+	if known.ChangedAt() < x.ChangedAt() || row.Removed && x.Split != (software.Split{}) {
+		x.lacking = true
+		r.Log.Warn("the store has an older split or none; it is written again", zap.String("service", string(s)), zap.Int64("row-version", int64(row.Version)))
+		return
+	}
+	if known == x.Split {
+		return
+	}
+	x.Split = known
+	r.Log.Info("split of a service", zap.String("service", string(s)), zap.Any("slots", known.Counts()), zap.Int64("row-version", int64(row.Version)))
+	notify(r.changed)
+}
+
+// Planned returns the version at which a stream should begin, and false if none is assigned.
+func (r *Registry) Planned(s route.ServiceName, x software.Slot) (software.Version, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	v := r.split(s).Split[x].Version
+	return v, v != ""
+}
+
+// MayDeviate reports whether a stream may begin at another version than the planned one. That has to be
+// recorded in the store.
+func (r *Registry) MayDeviate() bool { return r.StoreReachable() }
+
+// Begin records that a stream begins, or is about to begin.
+func (r *Registry) Begin(x software.Stream) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	x.BegunAt = r.Timer.Boot()
+	s := route.ServiceName(x.Service)
+	old, known := r.begun.Get(x.ID)
+	r.begun.Add(x, x.BegunAt-r.settleTime(s))
+	if known && old.Version == x.Version {
+		return
+	}
+	switch {
+	case !r.needsRecord(x):
+	case r.split(s).Split[x.Slot].Version != x.Version:
+		notify(r.urgent)
+	default:
+		notify(r.changed)
+	}
+}
+
+// needsRecord reports whether the version of a stream does not follow from the split of its service.
+// Without a split, streams at processes whose version is not known are not recorded: they cannot go on
+// anywhere else.
+func (r *Registry) needsRecord(x software.Stream) bool {
+	s := r.split(route.ServiceName(x.Service))
+	if s.Split == (software.Split{}) && !x.Version.IsStated() {
+		return false
+	}
+	v, ok := s.Begun(x.Slot, r.storeTime(), r.settleTime(route.ServiceName(x.Service)))
+	return !ok || v != x.Version
+}
+
+// Find returns the version at which a stream began, and false if that is not known. It reads the
+// records of all instances if the split does not decide.
+func (r *Registry) Find(c context.Context, s route.ServiceName, x software.Slot, id software.StreamID) (software.Version, bool) {
+	r.mu.Lock()
+	own, ok := r.begun.Get(id)
+	known, now, settle := r.split(s).Split, r.storeTime(), r.settleTime(s)
+	r.mu.Unlock()
+	if ok {
+		return own.Version, true
+	}
+	if known.Single(now, settle) {
+		return known[x].Version, true
+	}
+	if v, ok := r.findRecord(c, id); ok {
+		return v, true
+	}
+	return known.Begun(x, now, settle)
+}
+
+// Run writes records and splits until c ends.
+func (r *Registry) Run(c context.Context) {
+	go r.writeRecords(c)
+	r.Timer.Subscribe(c, stepInterval, func(time.Time) {
+		if r.Ready() {
+			r.Step(c)
+		}
+	})
+}
+
+// Step writes the splits that the present upstreams call for. One instance does that for all; the
+// others do it if that instance does not.
+func (r *Registry) Step(c context.Context) {
+	responsible, now := r.Responsible(), r.Timer.Boot()
+	for s := range r.Lifetimes() {
+		serving := r.Serving(s)
+		r.mu.Lock()
+		x := r.split(s)
+		next, differs := x.Next(serving, r.storeTime())
+		if !differs && !x.lacking || !r.storeTimeKnown {
+			x.neededSince = 0
+			r.mu.Unlock()
+			continue
+		}
+		if x.neededSince == 0 {
+			x.neededSince = now
+		}
+		wait := time.Duration(0)
+		if !responsible {
+			wait = substituteDelay + rand.N(substituteDelay)
+		}
+		due := now-x.neededSince >= wait && (x.triedAt == 0 || now-x.triedAt >= splitInterval)
+		version := x.version
+		if due {
+			x.triedAt = now
+		}
+		r.mu.Unlock()
+		if due {
+			r.writeSplit(c, s, next, version, serving)
+		}
+	}
+}
+
+func (r *Registry) writeSplit(c context.Context, s route.ServiceName, next software.Split, version mirror.Version, serving map[software.Version]int) {
+	value, err := encodeSplit(next)
+	if err != nil {
+		r.Log.Error("cannot encode split", zap.Error(err))
+		return
+	}
+	key := store.Key{Table: r.FleetTable, Key: SplitPrefix + string(s)}
+	x, cancel := context.WithTimeout(c, callTimeout)
+	defer cancel()
+	o, err := r.Store.Transact(x, store.Transaction{Expected: map[store.Key]mirror.Version{key: version}, Writes: []store.Write{{Key: key, Value: value}}})
+	if err != nil {
+		r.Log.Warn("could not write split", zap.String("service", string(s)), zap.Error(err))
+		return
+	}
+	r.Log.Info("split written", zap.String("service", string(s)), zap.Any("serving", serving), zap.Bool("committed", o.Committed), zap.Int64("row-version", int64(o.Version)))
+	row := mirror.Row{Key: key.Key, Value: value, Version: o.Version}
+	if !o.Committed {
+		row = o.Current[key]
+		row.Removed = row.Version == 0
+	}
+	r.ApplyRows([]mirror.Row{row})
+}
--- /dev/null
+++ b/coordination/streams/streams_test.go
@@ -0,0 +1,215 @@
+package streams_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"gentiangauge.example/gentiangauge/coordination/streams"
+	"gentiangauge.example/gentiangauge/standin/memory"
+	"gentiangauge.example/gentiangauge/state/mirror"
+	"gentiangauge.example/gentiangauge/state/route"
+	"gentiangauge.example/gentiangauge/state/software"
+	"gentiangauge.example/gentiangauge/timer"
+	"gentiangauge.example/gentiangauge/transport/store"
+)
+
+const (
+	service = route.ServiceName("models")
+	timeout = 10 * time.Second
+)
+
+var v1, v2 = software.Stated("v1"), software.Stated("v2")
+
+// fleet is a number of registries with a common store, whose time each of them knows.
+type fleet struct {
+	store    *memory.Store
+	clock    *timer.Service
+	serving  map[software.Version]int
+	lifetime time.Duration
+}
+
+func newFleet() *fleet {
+	return &fleet{store: memory.New(), clock: timer.New(), lifetime: time.Minute}
+}
+
+func (f *fleet) add(t *testing.T, name string) *streams.Registry {
+	r := streams.New(name, streams.Services{
+		Timer: f.clock, Log: zap.NewNop(), Store: f.store.Client(), FleetTable: "fleet", RecordTable: "streams",
+		Lifetimes: func() map[route.ServiceName]time.Duration {
+			return map[route.ServiceName]time.Duration{service: f.lifetime}
+		},
+		Serving: func(route.ServiceName) map[software.Version]int { return f.serving },
+		Ready:   func() bool { return false }, Responsible: func() bool { return true }, PeerCount: func() int { return 1 },
+		StoreReachable: func() bool { return true },
+	})
+	r.ObserveStoreTime(time.Hour)
+	f.read(t, r)
+	go r.Run(t.Context())
+	return r
+}
+
+// read has a registry read the fleet table, as a feed does.
+func (f *fleet) read(t *testing.T, r *streams.Registry) {
+	rows, _, err := f.store.Client().Read(t.Context(), "fleet")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.ApplyRows(rows)
+}
+
+func stream(name string, v software.Version) software.Stream {
+	return software.Stream{ID: software.NewStreamID("guild", name), Service: string(service), Slot: software.SlotOf(name), Version: v}
+}
+
+func find(t *testing.T, r *streams.Registry, x software.Stream) (software.Version, bool) {
+	return r.Find(t.Context(), service, x.Slot, x.ID)
+}
+
+// eventuallyFound waits until a registry finds the version of a stream.
+func eventuallyFound(t *testing.T, r *streams.Registry, x software.Stream) {
+	t.Helper()
+	for end := time.Now().Add(timeout); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if v, ok := find(t, r, x); ok {
+			if v != x.Version {
+				t.Fatalf("found at %q, it began at %q", v, x.Version)
+			}
+			return
+		}
+	}
+	t.Fatalf("not found within %v", timeout)
+}
+
+// While a split is new, the version of a stream is unknown without a record, and known by it at an
+// instance that starts after all others have ended.
+func TestStreamsOfANewSplitAreRecorded(t *testing.T) {
+	f := newFleet()
+	f.serving = map[software.Version]int{v1: 9, v2: 9}
+	a := f.add(t, "a")
+	a.Step(t.Context())
+	b := f.add(t, "b")
+	for i := range 300 {
+		x := stream(fmt.Sprint("s", i), v1)
+		if p, ok := a.Planned(service, x.Slot); !ok || p != v1 && p != v2 {
+			t.Fatalf("planned %q, %v", p, ok)
+		} else if i%3 > 0 {
+			x.Version = p
+		}
+		if v, ok := find(t, b, x); ok {
+			t.Fatalf("%d: found at %q before it began", i, v)
+		}
+		a.Begin(x)
+		if i%50 == 0 {
+			eventuallyFound(t, b, x)
+			eventuallyFound(t, f.add(t, fmt.Sprint("c", i)), x)
+			other := x
+			other.ID = software.NewStreamID("shop", fmt.Sprint("s", i))
+			if _, ok := find(t, b, other); ok {
+				t.Error("a stream of another workspace is found")
+			}
+		}
+	}
+}
+
+// A stream that begins at another version than the planned one is recorded at once, also long after the
+// split has changed.
+func TestDeviatingStreamsAreRecorded(t *testing.T) {
+	f := newFleet()
+	f.lifetime = 100 * time.Millisecond
+	f.serving = map[software.Version]int{v1: 9, v2: 9}
+	a := f.add(t, "a")
+	a.Step(t.Context())
+	b := f.add(t, "b")
+	b.ObserveStoreTime(2 * time.Hour)
+	a.ObserveStoreTime(2 * time.Hour)
+	x := stream("s", v1)
+	if p, _ := a.Planned(service, x.Slot); p == v1 {
+		x.Version = v2
+	}
+	if v, ok := find(t, b, x); !ok || v == x.Version {
+		t.Fatalf("planned at %q, %v", v, ok)
+	}
+	f.lifetime = time.Hour / 2
+	a.Begin(x)
+	time.Sleep(100 * time.Millisecond)
+	eventuallyFound(t, b, x)
+}
+
+// The store is away: what is settled is known all the same, what is not is unknown.
+func TestStreamsDuringAnOutage(t *testing.T) {
+	f := newFleet()
+	f.serving = map[software.Version]int{v1: 9, v2: 9}
+	a := f.add(t, "a")
+	a.Step(t.Context())
+	f.store.InjectFault = func(string) (bool, error) { return false, errors.New("away") }
+	x := stream("s", v1)
+	if v, ok := find(t, a, x); ok {
+		t.Errorf("found at %q while the split is new", v)
+	}
+	a.ObserveStoreTime(2 * time.Hour)
+	p, _ := a.Planned(service, x.Slot)
+	if v, ok := find(t, a, x); !ok || v != p {
+		t.Errorf("found at %q, %v, planned at %q", v, ok, p)
+	}
+}
+
+// The store comes back from a copy with an older split, or with none. The newer one stays in force and
+// is written again.
+func TestSplitSurvivesARestoredStore(t *testing.T) {
+	f := newFleet()
+	empty := f.store.Copy()
+	f.serving = map[software.Version]int{v1: 9}
+	a := f.add(t, "a")
+	a.Step(t.Context())
+	old := f.store.Copy()
+	f.serving = map[software.Version]int{v1: 9, v2: 9}
+	time.Sleep(1100 * time.Millisecond)
+	a.Step(t.Context())
+	for i, c := range []memory.Copy{old, empty} {
+		f.store.Restore(c)
+		rows, version, err := a.Store.Read(t.Context(), "fleet")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(rows) == 0 {
+			rows = []mirror.Row{{Key: streams.SplitPrefix + string(service), Version: version, Removed: true}}
+		}
+		a.ApplyRows(rows)
+		time.Sleep(1100 * time.Millisecond)
+		a.Step(t.Context())
+		b := f.add(t, fmt.Sprint("b", i))
+		for x := range software.Slot(64) {
+			p, _ := a.Planned(service, x)
+			if q, ok := b.Planned(service, x); !ok || p != q {
+				t.Fatalf("copy %d: slot %d is planned at %q and, in the store, at %q", i, x, p, q)
+			}
+		}
+	}
+}
+
+// FuzzRows applies rows of splits and records that another writer has spoilt.
+func FuzzRows(f *testing.F) {
+	for _, text := range []string{
+		"", "[]", "{}", `{"versions":["=v1"],"slots":[0],"since-ms":[0]}`, `{"versions":[],"streams":{"zz":1}}`, `{"streams":{"1":65535}}`,
+		`{"slots":[-1,1e300]}`, `{"versions":"=v1"}`, `{"written-ms":9e99}`,
+	} {
+		f.Add([]byte(text))
+	}
+	f.Fuzz(func(t *testing.T, value []byte) {
+		x := newFleet()
+		x.store.Apply(store.Transaction{Writes: []store.Write{
+			{Key: store.Key{Table: "fleet", Key: streams.SplitPrefix + string(service)}, Value: value},
+			{Key: store.Key{Table: "streams", Key: "odd"}, Value: value},
+		}})
+		c, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		r := x.add(t, "a")
+		r.Find(c, service, 7, 7)
+		x.serving = map[software.Version]int{v1: 1}
+		r.Step(c)
+	})
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -22,6 +22,7 @@
 	"gentiangauge.example/gentiangauge/coordination/gossip"
 	"gentiangauge.example/gentiangauge/coordination/orders"
 	"gentiangauge.example/gentiangauge/coordination/ownership"
+	"gentiangauge.example/gentiangauge/coordination/streams"
 	"gentiangauge.example/gentiangauge/coordination/suspect"
 	"gentiangauge.example/gentiangauge/protocol/dispatch"
 	"gentiangauge.example/gentiangauge/state/mirror"
@@ -145,6 +146,7 @@
 	retries      *retry.Budget
 	usageReports *usage.Reports
 	suspects     *suspect.Registry
+	streams      *streams.Registry
 	// trials are the trials of suspected parts that this instance grants.
 	trials *suspicion.Trials
 	// verdictsStoredAt is when this instance last tried to store verdicts. Only housekeeping uses
@@ -215,6 +217,7 @@
 		Store: e.Store, Timer: e.timer, Gossip: e.gossip, Pool: e.pool, Log: log,
 		NeedsOwner: e.needsOwner,
 	})
+	e.newStreams(log)
 	a := admission.New(e.pool, e.timer, log)
 	a.TakePermit, a.ReturnPermit, a.OnLimit = e.takePermit, e.returnPermit, e.announceLimit
 	e.orders = orders.New(e.ctx, e.LoadTiming, orders.Services{
@@ -226,7 +229,7 @@
 		Charge: func(w *route.Workspace, n float64) error { return e.quota.charge(w, n, e.timer.Boot()) },
 		Refund: func(w *route.Workspace, n float64) { e.quota.refund(w, n, e.timer.Boot()) },
 		Load:   e.load, Reserve: e.reserve, HasOwner: e.hasOwner, ReportMissing: e.reportMissing, Send: e.Send, Rand: rand.Float64,
-		HasEnded: e.HasEnded, Suspects: e.suspects, TakeTrial: e.takeTrial, EndTrial: e.endTrial,
+		HasEnded: e.HasEnded, Streams: e.streams, Suspects: e.suspects, TakeTrial: e.takeTrial, EndTrial: e.endTrial,
 		StopsAt:   func() time.Duration { return time.Duration(e.stopsAt.Load()) },
 		PeerCount: func() int { return int(e.peers.Load()) },
 		DataAges:  e.rowAges,
@@ -251,6 +254,7 @@
 	go e.gossip.Run(c)
 	go e.ownership.Run(c)
 	go e.orders.Run(c)
+	go e.streams.Run(c)
 	go e.timer.Subscribe(c, usage.Interval, func(time.Time) { e.sendReports() })
 	go e.timer.Subscribe(c, housekeepingInterval, func(time.Time) { e.housekeeping(c) })
 	e.register(c)
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -104,6 +104,7 @@
 func (e *Entry) onFleetRows(rows []mirror.Row, settlesIn time.Duration) {
 	e.ownership.ApplyRows(rows)
 	e.applyVerdictRows(rows)
+	e.streams.ApplyRows(rows)
 	log := e.rowLogger("fleet", rows)
 	for _, r := range rows {
 		name, ok := strings.CutPrefix(r.Key, memberPrefix)
--- a/protocol/dispatch/admit.go
+++ b/protocol/dispatch/admit.go
@@ -57,7 +57,12 @@
 			return j, refusal.New(refusal.KeyUnknown, http.StatusUnauthorized, "the key is not known")
 		}
 	}
-	if j.service, ok = t.Service(r.Pick(d.Rand())); !ok {
+	draw := d.Rand()
+	if r.Kind == route.Stream && r.Resumable {
+		j.identifyStream()
+		draw = j.stream.Draw()
+	}
+	if j.service, ok = t.Service(r.Pick(draw)); !ok {
 		return j, refusal.Later(refusal.NoUpstream, overloadRetryAfter, "the route names a service that is not configured")
 	}
 	if err := d.checkStopTime(j); err != nil {
--- a/protocol/dispatch/attempt.go
+++ b/protocol/dispatch/attempt.go
@@ -159,6 +159,7 @@
 	d.recordLimitedSend(j)
 	j.sentAs, j.events, j.sound = j.way(), 0, false
 	j.sends++
+	d.recordBegin(j, false)
 	q := UpstreamRequest{
 		Request: j.Request, Upstream: j.choice.Upstream, Version: j.choice.Version, Remaining: j.deadline - sent,
 		Urgency: d.urgency(j), ResumeAfter: j.lastEvent, AtMostOnce: !j.route.Repeatable() || j.permitted,
--- a/protocol/dispatch/dispatch.go
+++ b/protocol/dispatch/dispatch.go
@@ -19,11 +19,13 @@
 	"go.uber.org/zap"
 
 	"gentiangauge.example/gentiangauge/coordination/admission"
+	"gentiangauge.example/gentiangauge/coordination/streams"
 	"gentiangauge.example/gentiangauge/coordination/suspect"
 	"gentiangauge.example/gentiangauge/refusal"
 	"gentiangauge.example/gentiangauge/state/pool"
 	"gentiangauge.example/gentiangauge/state/retry"
 	"gentiangauge.example/gentiangauge/state/route"
+	"gentiangauge.example/gentiangauge/state/software"
 	"gentiangauge.example/gentiangauge/state/suspicion"
 	"gentiangauge.example/gentiangauge/timer"
 )
@@ -126,6 +128,8 @@
 	// Send sends a request to an upstream. It fails with relay.ErrNotSent or
 	// relay.ErrConnectionBroken.
 	Send func(c context.Context, s UpstreamRequest) (*Response, error)
+	// Streams has the software versions at which streams began.
+	Streams *streams.Registry
 	// Suspects holds the parts of requests that crash upstreams.
 	Suspects *suspect.Registry
 	// TakeTrial requests the right to send one request with a suspected part. EndTrial gives it
@@ -207,8 +211,11 @@
 	// started is set once a part of a response has been sent to the caller.
 	started   bool
 	lastEvent string
-	// begunAt is the upstream that wrote the first event of the response.
-	begunAt pool.Upstream
+	// stream and slot identify the stream that the request begins or takes up, if the route's streams
+	// can go on elsewhere. software is the version at which it began, or empty as long as it has not.
+	stream   software.StreamID
+	slot     software.Slot
+	software software.Version
 	// sentAs is the way of the present send.
 	sentAs string
 	// events is the number of events of the present send that have arrived.
@@ -248,7 +255,9 @@
 	defer cancel()
 	stop := d.startDeadlineTimer(j, cancel)
 	defer stop()
-	err = d.sendWithRetries(c, w, j)
+	if err = d.findSoftware(c, j); err == nil {
+		err = d.sendWithRetries(c, w, j)
+	}
 	if j.runs == 0 && j.workspace != nil {
 		d.Refund(j.workspace, j.units)
 	}
@@ -283,21 +292,6 @@
 	return func() { close(done); stop() }
 }
 
-// recordStream logs and counts a stream that goes on, with the software versions of the upstreams.
-func (d *Dispatcher) recordStream(j *job) {
-	u := j.choice.Upstream
-	if !j.started {
-		j.begunAt = u
-	}
-	if j.lastEvent == "" {
-		return
-	}
-	d.Metrics.countContinued(j.sentAs)
-	d.Log.Info("stream goes on", zap.String("request", j.ID), zap.String("resumes", j.Resumes), zap.String("way", j.sentAs), zap.String("last-event", j.lastEvent),
-		zap.String("begun-at", string(j.begunAt.ID)), zap.String("begun-software", string(j.begunAt.Software)),
-		zap.String("upstream", string(u.ID)), zap.Int64("born", u.StartedAt), zap.String("software", string(u.Software)))
-}
-
 // versionFields returns log fields with the versions of the configuration and upstream
 // rows that were used for a request, and how long ago these were last confirmed to be
 // current.
--- a/protocol/dispatch/dispatch_test.go
+++ b/protocol/dispatch/dispatch_test.go
@@ -16,6 +16,7 @@
 
 	"gentiangauge.example/gentiangauge/coordination/admission"
 	"gentiangauge.example/gentiangauge/coordination/orders"
+	"gentiangauge.example/gentiangauge/coordination/streams"
 	"gentiangauge.example/gentiangauge/coordination/suspect"
 	"gentiangauge.example/gentiangauge/protocol/dispatch"
 	"gentiangauge.example/gentiangauge/refusal"
@@ -101,7 +102,10 @@
 		},
 		ReportMissing: func(pool.ID, pool.Adapter) {}, Send: b.send, PeerCount: func() int { return 0 }, DataAges: func() (time.Duration, time.Duration) { return 0, 0 }, StopsAt: func() time.Duration { return b.stopsAt }, Rand: func() float64 { return 0.5 },
 		Budget: retry.New(), Admission: b.admission,
-		Suspects:  b.suspects,
+		Suspects: b.suspects,
+		Streams: streams.New("n", streams.Services{
+			Timer: b.timer, Log: zap.NewNop(), Lifetimes: func() map[route.ServiceName]time.Duration { return nil }, StoreReachable: func() bool { return true },
+		}),
 		TakeTrial: func(context.Context, suspicion.Part) bool { return b.trial }, EndTrial: func(suspicion.Part) {},
 		HasEnded: func(context.Context, string) bool { return b.ended },
 		Metrics:  dispatch.NewMetrics(prometheus.NewRegistry()),
--- a/protocol/dispatch/forward.go
+++ b/protocol/dispatch/forward.go
@@ -91,7 +91,8 @@
 				if !first() {
 					return d.handleTruncation(c, j, err)
 				}
-				d.recordStream(j)
+				d.recordContinued(j)
+				d.recordBegin(j, true)
 			}
 			if j.events += countEvents(pending[:complete]); j.events >= soundEvents {
 				d.recordSound(c, j)
--- a/protocol/dispatch/metrics.go
+++ b/protocol/dispatch/metrics.go
@@ -40,7 +40,7 @@
 		Name: "gentiangauge_dispatch_breaks_total", Help: "Connections that broke during a request, by whether the upstream has ended.",
 	}, []string{"ended"})
 	m.continued = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "gentiangauge_dispatch_streams_continued_total", Help: "Streams that went on after a break, by way: resume within one response, first or retry for a request that takes a stream up.",
+		Name: "gentiangauge_dispatch_streams_continued_total", Help: "Streams that went on after a break, by way: resume within one response, first or retry for a request that takes a stream up, unknown if it was refused.",
 	}, []string{"way"})
 	r.MustRegister(m.refusals, m.firstParts, m.limitedSends, m.breaks, m.continued)
 	return m
--- a/protocol/dispatch/place.go
+++ b/protocol/dispatch/place.go
@@ -46,9 +46,9 @@
 			return pool.Choice{}, refusal.Later(refusal.Overloaded, overloadRetryAfter, "no upstream had room in time")
 		}
 		q := d.poolQuery(j, tried, now)
-		h, ok := d.Pool.Choose(q, now)
+		h, ok := d.choose(j, q, now)
 		if !ok {
-			if !d.Pool.Serves(j.service.Name, now) {
+			if !d.Pool.Serves(j.service.Name, j.software, now) {
 				return h, d.noUpstream(j, now)
 			}
 			clear(tried)
@@ -93,9 +93,12 @@
 // noUpstream returns the refusal for a service none of whose upstreams accepts requests
 // now.
 func (d *Dispatcher) noUpstream(j *job, now time.Duration) error {
-	if t := d.Pool.ResumesIn(j.service.Name, now); t > 0 {
+	if t := d.Pool.ResumesIn(j.service.Name, j.software, now); t > 0 {
 		return refusal.Later(refusal.Overloaded, max(overloadRetryAfter, t), "every upstream of the service turns requests away, the first one for %v more", t)
 	}
+	if j.software != "" {
+		return refusal.Later(refusal.NoUpstream, overloadRetryAfter, "no upstream runs the software version that began the stream")
+	}
 	return refusal.Later(refusal.NoUpstream, overloadRetryAfter, "no upstream of the service is known")
 }
 
--- /dev/null
+++ b/protocol/dispatch/software.go
@@ -0,0 +1,101 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"gentiangauge.example/gentiangauge/refusal"
+	"gentiangauge.example/gentiangauge/state/pool"
+	"gentiangauge.example/gentiangauge/state/software"
+)
+
+// takesUp reports whether the request takes a stream up that an earlier request began.
+func (j *job) takesUp() bool { return j.stream != 0 && j.ResumeAfter != "" }
+
+// identifyStream sets the stream that the request begins or takes up, and its slot. Requests for one
+// adapter share a slot, so that each version holds the adapters of its slots only.
+func (j *job) identifyStream() {
+	id, workspace := j.ID, ""
+	if j.ResumeAfter != "" && j.Resumes != "" {
+		id = j.Resumes
+	}
+	if j.workspace != nil {
+		workspace = string(j.workspace.Name)
+	}
+	j.stream = software.NewStreamID(workspace, id)
+	key := id
+	if j.Adapter.Name != "" {
+		key = string(j.Adapter.Model) + "/" + string(j.Adapter.Name)
+	}
+	j.slot = software.SlotOf(key)
+}
+
+// findSoftware finds the software version at which a stream that is taken up began, or refuses the
+// request: the rest of a stream by another version does not fit.
+func (d *Dispatcher) findSoftware(c context.Context, j *job) error {
+	if !j.takesUp() {
+		return nil
+	}
+	v, ok := d.Streams.Find(c, j.service.Name, j.slot, j.stream)
+	if !ok {
+		d.Metrics.countContinued("unknown")
+		return refusal.Later(refusal.StreamUnknown, overloadRetryAfter, "the software version that began the stream is not known")
+	}
+	j.software = v
+	return nil
+}
+
+// choose chooses an upstream. The first events of a stream come from the planned software version, and
+// all others from the one that wrote them.
+//
+// Load pattern: upstreams of several software versions serve side by side, and those of one version are
+// overloaded or have all left.
+func (d *Dispatcher) choose(j *job, q pool.Request, now time.Duration) (pool.Choice, bool) {
+	q.Software = j.software
+	planned := false
+	if q.Software == "" && j.stream != 0 {
+		q.Software, planned = d.Streams.Planned(j.service.Name, j.slot)
+	}
+	h, ok := d.Pool.Choose(q, now)
+	left := j.Arrived + j.route.Objective - now
+	if !planned || ok && h.StartsIn() <= left {
+		return h, ok
+	}
+	if !d.Streams.MayDeviate() && d.Pool.Serves(j.service.Name, q.Software, now) {
+		return h, ok
+	}
+	q.Software = ""
+	if x, found := d.Pool.Choose(q, now); found && (!ok || x.StartsIn() <= left) {
+		return x, true
+	}
+	return h, ok
+}
+
+// recordBegin records the software version at which a stream is about to begin, or has begun. Before it
+// has, that is needed only for a version that does not follow from the request.
+func (d *Dispatcher) recordBegin(j *job, begun bool) {
+	if j.stream == 0 || j.software != "" {
+		return
+	}
+	v := j.choice.Upstream.Software
+	if planned, ok := d.Streams.Planned(j.service.Name, j.slot); begun || ok && planned != v {
+		d.Streams.Begin(software.Stream{ID: j.stream, Service: string(j.service.Name), Slot: j.slot, Version: v})
+	}
+	if begun {
+		j.software = v
+	}
+}
+
+// recordContinued logs and counts a stream that goes on, with the software versions of its begin and of
+// the upstream.
+func (d *Dispatcher) recordContinued(j *job) {
+	if j.lastEvent == "" {
+		return
+	}
+	u := j.choice.Upstream
+	d.Metrics.countContinued(j.sentAs)
+	d.Log.Info("stream goes on", zap.String("request", j.ID), zap.String("resumes", j.Resumes), zap.String("way", j.sentAs), zap.String("last-event", j.lastEvent),
+		zap.String("begun-software", string(j.software)), zap.String("upstream", string(u.ID)), zap.Int64("born", u.StartedAt), zap.String("software", string(u.Software)))
+}
--- a/protocol/dispatch/software_test.go
+++ b/protocol/dispatch/software_test.go
@@ -20,8 +20,8 @@
 }
 
 // breakFirst has the first send break off, after which the engines that run the same software are
-// busy. It returns the upstreams of both sends.
-func (b *harness) breakFirst(t *testing.T) (first, second pool.Upstream) {
+// busy, and the engine itself has left if gone is set. It returns the upstreams of both sends.
+func (b *harness) breakFirst(t *testing.T, gone bool) (first, second pool.Upstream) {
 	b.respond = func(n int, s dispatch.UpstreamRequest) (*dispatch.Response, error) {
 		if n > 1 {
 			second = s.Upstream
@@ -33,6 +33,9 @@
 				b.pool.Begin(u.ID, adapter, pool.Usage{Running: 40, PrefillTokens: 10_000})
 			}
 		}
+		if gone {
+			b.pool.Remove(first.ID, b.timer.Boot())
+		}
 		return stream(firstHalf, true), nil
 	}
 	if w, err := b.serve("/chat/x"); err != nil && !errors.Is(err, dispatch.ErrTruncated) || w.Code != http.StatusOK {
@@ -46,7 +49,7 @@
 func TestStreamIsResumedAtItsSoftwareVersion(t *testing.T) {
 	b := newHarness(4)
 	b.setSoftware("v1", "v2", "v1", "v2")
-	if first, second := b.breakFirst(t); first.Software != second.Software || first.ID == second.ID {
+	if first, second := b.breakFirst(t, false); first.Software != second.Software || first.ID == second.ID {
 		t.Errorf("begun at %s with software %q, resumed at %s with %q", first.ID, first.Software, second.ID, second.Software)
 	}
 }
@@ -55,8 +58,7 @@
 func TestStreamIsCutWithoutUpstreamsOfItsSoftwareVersion(t *testing.T) {
 	b := newHarness(3)
 	b.setSoftware("v1", "v2", "v3")
-	if first, second := b.breakFirst(t); second.ID != "" {
+	if first, second := b.breakFirst(t, true); second.ID != "" {
 		t.Errorf("begun with software %q, resumed with %q", first.Software, second.Software)
 	}
 }
-
--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -49,6 +49,7 @@
 	UpstreamFailed         Code = "upstream-failed"
 	UpstreamMismatch       Code = "upstream-mismatch"
 	RequestBlocked         Code = "request-blocked"
+	StreamUnknown          Code = "stream-unknown"
 	StoreUnavailable       Code = "store-unavailable"
 	IdempotencyKeyMissing  Code = "idempotency-key-missing"
 	IdempotencyKeyConflict Code = "idempotency-key-conflict"
--- a/state/pool/admission.go
+++ b/state/pool/admission.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"gentiangauge.example/gentiangauge/state/route"
+	"gentiangauge.example/gentiangauge/state/software"
 )
 
 //go:generate go tool stringer -type=Verdict -linecomment
@@ -132,13 +133,13 @@
 }
 
 // ResumesIn returns the time until the first paused or limited upstream of a service
-// accepts requests again, or 0 if there is none.
-func (p *Pool) ResumesIn(s route.ServiceName, now time.Duration) time.Duration {
+// accepts requests again, or 0 if there is none. If v is not empty, the upstream must run that software.
+func (p *Pool) ResumesIn(s route.ServiceName, v software.Version, now time.Duration) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var first time.Duration
 	for _, e := range p.entries {
-		if e.Service != s {
+		if e.Service != s || v != "" && e.Software != v {
 			continue
 		}
 		var at time.Duration
--- a/state/pool/choose.go
+++ b/state/pool/choose.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"gentiangauge.example/gentiangauge/state/route"
+	"gentiangauge.example/gentiangauge/state/software"
 )
 
 // Capacity describes the engines of a service.
@@ -39,6 +40,8 @@
 	// Load pattern: a whole fleet starts, or finds a service idle; instances that know of no
 	// requests there must not all choose the same upstream.
 	Spread Tag
+	// Software is the version of the software that the upstream must run, or empty for any.
+	Software software.Version
 	// Exclude holds the upstreams that have already failed this request.
 	Exclude map[ID]bool
 	// CanLoad reports whether the engine has an owner that can order loads on it. Nil
@@ -65,6 +68,10 @@
 	HasRoom bool
 }
 
+// StartsIn returns the predicted time to the first event, with that until the adapter is ready if it
+// is being loaded.
+func (c Choice) StartsIn() time.Duration { return c.FirstEvent + c.ReadyIn }
+
 const (
 	// rankStep is added for each place in the rendezvous order of an adapter, so that
 	// instances that choose at the same time choose the same engine.
@@ -131,9 +138,12 @@
 	return e.firstEvent(r, e.totalUsage(now))
 }
 
-// usable reports whether the upstream admits requests, has neither ended nor is backing off, and
-// has the base model.
+// usable reports whether the upstream runs the software of a request, admits requests, has neither
+// ended nor is backing off, and has the base model.
 func (e *entry) usable(r Request, now time.Duration) bool {
+	if r.Software != "" && e.Software != r.Software {
+		return false
+	}
 	if !e.verdict(now).Available() || now < max(e.health.backoffUntil, e.health.endedUntil) {
 		return false
 	}
--- a/state/pool/limit_test.go
+++ b/state/pool/limit_test.go
@@ -127,10 +127,10 @@
 	p, u := newLimitedPool(t, 2)
 	q := pool.Request{Service: "orders", Zone: "z"}
 	p.DeferPermit(u.ID, 2*time.Second)
-	if _, ok := p.Choose(q, time.Second); ok || p.Serves("orders", time.Second) {
+	if _, ok := p.Choose(q, time.Second); ok || p.Serves("orders", "", time.Second) {
 		t.Error("the upstream was chosen")
 	}
-	if v, d := p.Admits(u, time.Second), p.ResumesIn("orders", time.Second); v != pool.Limited || d != time.Second {
+	if v, d := p.Admits(u, time.Second), p.ResumesIn("orders", "", time.Second); v != pool.Limited || d != time.Second {
 		t.Errorf("%v, resumes in %v", v, d)
 	}
 	if _, ok := p.Choose(q, 2*time.Second); !ok {
--- a/state/pool/pool.go
+++ b/state/pool/pool.go
@@ -321,18 +321,33 @@
 	}
 }
 
-// Serves reports whether at least one upstream of a service admits requests.
-func (p *Pool) Serves(s route.ServiceName, now time.Duration) bool {
+// Serves reports whether at least one upstream of a service admits requests. If v is not empty, the
+// upstream must run that software.
+func (p *Pool) Serves(s route.ServiceName, v software.Version, now time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, e := range p.entries {
-		if e.Service == s && e.verdict(now).Available() {
+		if e.Service == s && (v == "" || e.Software == v) && e.verdict(now).Available() {
 			return true
 		}
 	}
 	return false
 }
 
+// Serving returns the number of upstreams of a service that are in service, by the software version
+// that they state.
+func (p *Pool) Serving(s route.ServiceName, now time.Duration) map[software.Version]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := map[software.Version]int{}
+	for _, e := range p.entries {
+		if e.Service == s && e.Software.IsStated() && (e.verdict(now).InService() || e.verdict(now) == Paused) {
+			out[e.Software]++
+		}
+	}
+	return out
+}
+
 // LoadOverrun is how long a load may continue past its estimated end.
 const LoadOverrun = 500 * time.Millisecond
 
--- a/state/pool/pool_test.go
+++ b/state/pool/pool_test.go
@@ -305,10 +305,10 @@
 	p.ApplyNotice(u, pool.Notice{Pause: time.Second}, time.Second)
 	u.StartedAt = 2
 	p.Put(u)
-	if v, d := p.Admits(u, 4*time.Second), p.ResumesIn("orders", 4*time.Second); v != pool.Paused || d != time.Second {
+	if v, d := p.Admits(u, 4*time.Second), p.ResumesIn("orders", "", 4*time.Second); v != pool.Paused || d != time.Second {
 		t.Errorf("%v, resumes in %v", v, d)
 	}
-	if v, d := p.Admits(u, 5*time.Second), p.ResumesIn("orders", 5*time.Second); v != pool.Admitted || d != 0 {
+	if v, d := p.Admits(u, 5*time.Second), p.ResumesIn("orders", "", 5*time.Second); v != pool.Admitted || d != 0 {
 		t.Errorf("%v, resumes in %v", v, d)
 	}
 }
--- a/state/route/route.go
+++ b/state/route/route.go
@@ -149,15 +149,26 @@
 	hosts    map[string][]*Route
 	services map[ServiceName]*Service
 	keys     map[string]*Workspace
+	// streams has the longest timeout of the routes of resumable streams to each service.
+	streams map[ServiceName]time.Duration
 }
 
+// defaultStreamTimeout applies to routes without a timeout.
+const defaultStreamTimeout = 30 * time.Second
+
 // New indexes a configuration.
 func New(c Config) *Table {
-	t := &Table{Config: c, hosts: map[string][]*Route{}, services: map[ServiceName]*Service{}, keys: map[string]*Workspace{}}
+	t := &Table{Config: c, hosts: map[string][]*Route{}, services: map[ServiceName]*Service{}, keys: map[string]*Workspace{}, streams: map[ServiceName]time.Duration{}}
 	for i := range t.Routes {
 		r := &t.Routes[i]
 		h := strings.ToLower(r.Host)
 		t.hosts[h] = append(t.hosts[h], r)
+		if r.Kind != Stream || !r.Resumable {
+			continue
+		}
+		for _, x := range r.Targets {
+			t.streams[x.Service] = max(t.streams[x.Service], cmp.Or(r.Timeout, defaultStreamTimeout))
+		}
 	}
 	for _, l := range t.hosts {
 		slices.SortStableFunc(l, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
@@ -193,6 +204,11 @@
 	return s, ok
 }
 
+// StreamTimeouts returns, for each service that resumable streams are routed to, how long after its
+// begin such a stream may be taken up: the longest timeout of their routes. The caller must not modify
+// it.
+func (t *Table) StreamTimeouts() map[ServiceName]time.Duration { return t.streams }
+
 // WorkspaceByKey returns the workspace that a key belongs to.
 func (t *Table) WorkspaceByKey(key string) (*Workspace, bool) {
 	w, ok := t.keys[key]
--- a/state/software/software.go
+++ b/state/software/software.go
@@ -2,7 +2,10 @@
 // versions do not fit together.
 package software
 
-import "strconv"
+import (
+	"strconv"
+	"strings"
+)
 
 // Version identifies the software of an upstream's process. Versions have no order.
 type Version string
@@ -11,6 +14,9 @@
 // same software.
 func Stated(text string) Version { return Version("=" + text) }
 
+// IsStated reports whether an upstream has stated the version.
+func (v Version) IsStated() bool { return strings.HasPrefix(string(v), "=") }
+
 // Unstated returns the version of a process whose version is not known. It differs from that of
 // every other process.
 func Unstated(id string, startedAt int64) Version {
--- a/transport/store/store.go
+++ b/transport/store/store.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -72,6 +73,9 @@
 type Store struct {
 	// Eras holds the newest era that an answer has stated.
 	Eras *Eras
+	// OnTime is called with the time of the store, a steady clock, in each answer that states it. Nil
+	// ignores it.
+	OnTime func(t time.Duration)
 	// Transact executes a transaction. It fails with ErrUnavailable, ErrRejected or ErrRestored.
 	Transact func(c context.Context, t Transaction) (Result, error)
 	// Read returns the rows of a table and the version at which they were read.
