dispatch: the rest of a stream is not sent to an engine that has started again

Cause: the software version of an upstream is that of its row, which is up to some seconds old. Change: before the rest of a stream is sent, the engine is asked which process it is.

--- a/coordination/orders/engine.go
+++ b/coordination/orders/engine.go
@@ -38,6 +38,8 @@
 // Report is the state that an engine reports. It lags behind the orders that the engine has
 // accepted.
 type Report struct {
+	// StartedAt is the start time of the process, as pool.Upstream.StartedAt, or 0 if it is not stated.
+	StartedAt int64
 	// Sequence is the number of orders accepted since the engine started.
 	Sequence int64
 	Adapters map[pool.Adapter]route.Version
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -229,7 +229,7 @@
 		Charge: func(w *route.Workspace, n float64) error { return e.quota.charge(w, n, e.timer.Boot()) },
 		Refund: func(w *route.Workspace, n float64) { e.quota.refund(w, n, e.timer.Boot()) },
 		Load:   e.load, Reserve: e.reserve, HasOwner: e.hasOwner, ReportMissing: e.reportMissing, Send: e.Send, Rand: rand.Float64,
-		HasEnded: e.HasEnded, Streams: e.streams, Suspects: e.suspects, TakeTrial: e.takeTrial, EndTrial: e.endTrial,
+		HasEnded: e.HasEnded, IsReplaced: e.isReplaced, Streams: e.streams, Suspects: e.suspects, TakeTrial: e.takeTrial, EndTrial: e.endTrial,
 		StopsAt:   func() time.Duration { return time.Duration(e.stopsAt.Load()) },
 		PeerCount: func() int { return int(e.peers.Load()) },
 		DataAges:  e.rowAges,
--- a/entry/owners.go
+++ b/entry/owners.go
@@ -159,6 +159,23 @@
 	return call(c, pool.ID(q.Upstream), q.adapter(), route.Version(q.Version))
 }
 
+// replacedCheckTimeout bounds the question whether an engine's process is the known one. The stream that
+// waits for it has paused already.
+const replacedCheckTimeout = 100 * time.Millisecond
+
+// isReplaced reports whether an engine says that it has another start time than the known one. Without
+// an answer the send decides.
+func (e *Entry) isReplaced(c context.Context, u pool.Upstream) bool {
+	x, cancel := context.WithTimeout(c, replacedCheckTimeout)
+	defer cancel()
+	r, err := e.Engines.Report(x, u)
+	if err != nil {
+		e.log.Info("engine did not say which process it is", zap.String("upstream", string(u.ID)), zap.Error(err))
+		return false
+	}
+	return r.StartedAt != 0 && r.StartedAt != u.StartedAt
+}
+
 // reportMissing notifies the owner of an engine that the engine lacks an adapter which was
 // expected to be loaded.
 func (e *Entry) reportMissing(id pool.ID, a pool.Adapter) {
--- a/protocol/dispatch/attempt.go
+++ b/protocol/dispatch/attempt.go
@@ -54,6 +54,10 @@
 			d.countEnd(j, h.ID)
 			return d.finalError(c, j, last, err)
 		}
+		if d.checkReplaced(c, j) {
+			d.countEnd(j, h.ID)
+			continue
+		}
 		if err = d.awaitTrial(c, j); err != nil {
 			d.countEnd(j, h.ID)
 			return d.finalError(c, j, last, err)
--- a/protocol/dispatch/dispatch.go
+++ b/protocol/dispatch/dispatch.go
@@ -138,6 +138,8 @@
 	EndTrial  func(p suspicion.Part)
 	// HasEnded reports whether the process at an address has ended.
 	HasEnded func(c context.Context, address string) bool
+	// IsReplaced reports whether an engine says that its process is another one than the known one.
+	IsReplaced func(c context.Context, u pool.Upstream) bool
 	// StopsAt returns the instant at which the instance stops, or 0 if it is not
 	// stopping.
 	StopsAt func() time.Duration
--- a/protocol/dispatch/dispatch_test.go
+++ b/protocol/dispatch/dispatch_test.go
@@ -107,8 +107,9 @@
 			Timer: b.timer, Log: zap.NewNop(), Lifetimes: func() map[route.ServiceName]time.Duration { return nil }, StoreReachable: func() bool { return true },
 		}),
 		TakeTrial: func(context.Context, suspicion.Part) bool { return b.trial }, EndTrial: func(suspicion.Part) {},
-		HasEnded: func(context.Context, string) bool { return b.ended },
-		Metrics:  dispatch.NewMetrics(prometheus.NewRegistry()),
+		IsReplaced: func(context.Context, pool.Upstream) bool { return false },
+		HasEnded:   func(context.Context, string) bool { return b.ended },
+		Metrics:    dispatch.NewMetrics(prometheus.NewRegistry()),
 	})
 	return b
 }
--- a/protocol/dispatch/software.go
+++ b/protocol/dispatch/software.go
@@ -73,6 +73,22 @@
 	return h, ok
 }
 
+// checkReplaced reports whether the engine that was chosen for the rest of a stream turns out to run
+// another process, whose software may differ. An engine with a rate limit is not asked.
+//
+// Load pattern: engines start again under their ids with other software, one after the other, and their
+// rows lag behind.
+func (d *Dispatcher) checkReplaced(c context.Context, j *job) bool {
+	u := j.choice.Upstream
+	if j.software == "" || j.service.Engine == nil || d.Pool.Limit(u.ID).Rate > 0 || !d.IsReplaced(c, u) {
+		return false
+	}
+	d.Log.Info("engine has started again, and its row lags", zap.String("request", j.ID), zap.String("upstream", string(u.ID)), zap.Int64("born", u.StartedAt))
+	j.avoid[u.ID] = true
+	d.Pool.MarkEnded(u.ID, u.StartedAt, d.Timer.Boot())
+	return true
+}
+
 // recordBegin records the software version at which a stream is about to begin, or has begun. Before it
 // has, that is needed only for a version that does not follow from the request.
 func (d *Dispatcher) recordBegin(j *job, begun bool) {
