dispatch, streams: a stream that began at an engine with a late row does not go on elsewhere

The test failed before: joined from v2 and v1.

Cause: a stream was taken to have begun at the version of the row. Change: an engine whose stream has broken off is asked which process it is, and a row that shows another process late makes the version of its last streams unknown. Unknown streams are not continued.

--- a/coordination/streams/streams.go
+++ b/coordination/streams/streams.go
@@ -27,6 +27,8 @@
 	// learnTime is the time within which all instances know a changed split. Instances that were
 	// frozen learn it soon after, and record the streams that they began meanwhile.
 	learnTime = 3 * time.Second
+	// maxRowLag is how long the row of an upstream may be that of the process before.
+	maxRowLag = 5 * time.Second
 	// splitInterval is the minimum time between two writes of the split of a service, substituteDelay
 	// the time after which any instance writes one that the responsible instance has not written.
 	splitInterval   = time.Second
@@ -207,6 +209,21 @@
 	}
 }
 
+// Doubt records that the process of an upstream, whose software was of version v, has been replaced by
+// one of another version. Its last streams may have begun at either.
+func (r *Registry) Doubt(upstream string, v software.Version) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.Timer.Boot()
+	for _, x := range r.begun.Since(now - maxRowLag) {
+		if x.Upstream == upstream && x.Version == v {
+			x.Version = software.Unstated(upstream, 0)
+			r.begun.Add(x, 0)
+		}
+	}
+	notify(r.urgent)
+}
+
 // needsRecord reports whether the version of a stream does not follow from the split of its service.
 // Without a split, streams at processes whose version is not known are not recorded: they cannot go on
 // anywhere else.
--- a/coordination/streams/streams_test.go
+++ b/coordination/streams/streams_test.go
@@ -213,3 +213,30 @@
 		r.Step(c)
 	})
 }
+
+// The row of an upstream shows late that its process is another one with other software. At which of
+// both versions its last streams began is unknown.
+func TestLastStreamsBeforeALateRowAreUnknown(t *testing.T) {
+	f := newFleet()
+	f.serving = map[software.Version]int{v1: 9}
+	a := f.add(t, "a")
+	a.Step(t.Context())
+	x, y := stream("s", v1), stream("other", v1)
+	x.Upstream, y.Upstream = "e0", "e1"
+	a.Begin(x)
+	a.Begin(y)
+	a.Doubt("e0", v1)
+	if v, _ := find(t, a, x); v == v1 {
+		t.Errorf("found at %q", v)
+	}
+	if v, ok := find(t, a, y); !ok || v != v1 {
+		t.Errorf("the stream of another upstream is found at %q, %v", v, ok)
+	}
+	f.serving = map[software.Version]int{v1: 8, v2: 1}
+	time.Sleep(1100 * time.Millisecond)
+	a.Step(t.Context())
+	time.Sleep(300 * time.Millisecond)
+	if v, ok := find(t, f.add(t, "b"), x); ok && v.IsStated() {
+		t.Errorf("found at %q by another instance", v)
+	}
+}
--- a/protocol/dispatch/dispatch.go
+++ b/protocol/dispatch/dispatch.go
@@ -218,6 +218,8 @@
 	stream   software.StreamID
 	slot     software.Slot
 	software software.Version
+	// begunAt is the upstream that wrote the first event.
+	begunAt pool.Upstream
 	// sentAs is the way of the present send.
 	sentAs string
 	// events is the number of events of the present send that have arrived.
--- a/protocol/dispatch/software.go
+++ b/protocol/dispatch/software.go
@@ -80,7 +80,16 @@
 // rows lag behind.
 func (d *Dispatcher) checkReplaced(c context.Context, j *job) bool {
 	u := j.choice.Upstream
-	if j.software == "" || j.service.Engine == nil || d.Pool.Limit(u.ID).Rate > 0 || !d.IsReplaced(c, u) {
+	if j.software == "" || j.service.Engine == nil || d.Pool.Limit(u.ID).Rate > 0 {
+		return false
+	}
+	if j.started && j.begunAt.ID != "" && d.IsReplaced(c, j.begunAt) {
+		// Its process may have been replaced before the stream began there.
+		d.Streams.Doubt(string(j.begunAt.ID), j.software)
+		j.software = software.Unstated(string(j.begunAt.ID), 0)
+		return true
+	}
+	if !d.IsReplaced(c, u) {
 		return false
 	}
 	d.Log.Info("engine has started again, and its row lags", zap.String("request", j.ID), zap.String("upstream", string(u.ID)), zap.Int64("born", u.StartedAt))
@@ -95,9 +104,10 @@
 	if j.stream == 0 || j.software != "" {
 		return
 	}
-	v := j.choice.Upstream.Software
+	j.begunAt = j.choice.Upstream
+	v := j.begunAt.Software
 	if planned, ok := d.Streams.Planned(j.service.Name, j.slot); begun || ok && planned != v {
-		d.Streams.Begin(software.Stream{ID: j.stream, Service: string(j.service.Name), Slot: j.slot, Version: v})
+		d.Streams.Begin(software.Stream{ID: j.stream, Service: string(j.service.Name), Slot: j.slot, Version: v, Upstream: string(j.begunAt.ID)})
 	}
 	if begun {
 		j.software = v
--- a/state/software/streams.go
+++ b/state/software/streams.go
@@ -22,9 +22,10 @@
 	ID      StreamID
 	Service string
 	Slot    Slot
-	// Version is the version at which it began.
-	Version Version
-	BegunAt time.Duration
+	// Version is the version at which it began, and Upstream the upstream.
+	Version  Version
+	Upstream string
+	BegunAt  time.Duration
 }
 
 // Streams holds the streams that an instance has begun lately. It is bounded: the oldest ones are
