--- a/commands/entry.go
+++ b/commands/entry.go
@@ -31,5 +31,5 @@
 	}
 	c, stop := signal.NotifyContext(c, os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	return platform.Run(c, file, func(level string) (*logs.Log, error) { return logs.New(level, os.Stdout) })
+	return platform.Run(c, file, platform.Options{NewLog: func(level string) (*logs.Log, error) { return logs.New(level, os.Stdout) }})
 }
