paths, mesh, relay: requests to upstreams go through another instance where this one is cut off

Cause: a send had one path. Change: an instance opens the connection through a member that reaches the upstream. The origin keeps keys, quotas, choice, permits and what it says of a request; the member carries bytes on a stream of its own, one hop, to addresses of upstreams only, at most 192 at a time.

No bytes were sent as long as no connection was obtained, also if the attempt was cancelled: that is now said to be not run.

--- a/coordination/gossip/heartbeat.go
+++ b/coordination/gossip/heartbeat.go
@@ -81,6 +81,8 @@
 	Limits []pool.UpstreamLimit
 	// Suspicions is an encoded announcement of package suspect, or empty.
 	Suspicions []byte
+	// Stranded is set while the instance is cut off from most upstreams.
+	Stranded bool
 }
 
 // heartbeatMessage is a heartbeat on the wire. It has parallel lists of numbers instead
@@ -137,6 +139,7 @@
 	Suspicions     []byte `protobuf:"bytes,38,opt,name=suspicions,proto3"`
 	SuspicionsOnly bool   `protobuf:"varint,39,opt,name=suspicions_only,proto3"`
 	Configuration  int64  `protobuf:"varint,40,opt,name=configuration,proto3"`
+	Stranded       bool   `protobuf:"varint,41,opt,name=stranded,proto3"`
 }
 
 // placementMessage is a Placement on the wire. Versions, ReadyInMs and Running are in
@@ -162,7 +165,7 @@
 		Name: b.Name, Run: b.Run, Sequence: b.Sequence, Serving: b.Serving, UptimeMs: b.Uptime.Milliseconds(),
 		Lease: int64(b.Lease), Surrendered: b.Surrendered, Loading: int64(b.Loading),
 		Zone: b.Zone, Unsteady: b.StoreUnstable, Reading: b.ReadsStore, Vouching: b.StoreConfirmed, Front: b.FrontAddress, Peer: b.PeerAddress, Listings: b.ListingsDigest,
-		Suspicions: b.Suspicions, Configuration: int64(b.Configuration),
+		Suspicions: b.Suspicions, Configuration: int64(b.Configuration), Stranded: b.Stranded,
 	}
 	for t, v := range b.Versions {
 		m.Tables, m.Versions = append(m.Tables, uint32(t)), append(m.Versions, int64(v))
@@ -216,7 +219,7 @@
 	b := Heartbeat{
 		Name: m.Name, Run: m.Run, Sequence: m.Sequence, Serving: m.Serving, Uptime: time.Duration(m.UptimeMs) * time.Millisecond,
 		Lease: mirror.Version(m.Lease), Surrendered: m.Surrendered, Loading: int(m.Loading),
-		Zone: m.Zone, StoreUnstable: m.Unsteady, ReadsStore: m.Reading, StoreConfirmed: m.Vouching, FrontAddress: m.Front, PeerAddress: m.Peer, ListingsDigest: m.Listings, Suspicions: m.Suspicions, Configuration: route.Version(m.Configuration),
+		Zone: m.Zone, StoreUnstable: m.Unsteady, ReadsStore: m.Reading, StoreConfirmed: m.Vouching, FrontAddress: m.Front, PeerAddress: m.Peer, ListingsDigest: m.Listings, Suspicions: m.Suspicions, Configuration: route.Version(m.Configuration), Stranded: m.Stranded,
 		Versions: map[pool.Tag]mirror.Version{}, Spent: map[pool.Tag]float64{}, Sent: map[pool.Tag]retry.Count{},
 	}
 	for i := range min(len(m.Tables), len(m.Versions)) {
--- /dev/null
+++ b/coordination/paths/paths.go
@@ -0,0 +1,225 @@
+// Package paths finds out which upstreams an instance reaches directly, and opens connections to the
+// others through instances that reach them.
+package paths
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"gentiangauge.example/gentiangauge/state/reach"
+	"gentiangauge.example/gentiangauge/timer"
+)
+
+const (
+	stepInterval = 200 * time.Millisecond
+	// silentTime is the time without any data of an upstream, while responses are due, after which direct
+	// connections are tried. A sound upstream may be silent for longer, which these then show.
+	silentTime = 400 * time.Millisecond
+	// probeTimeout bounds the attempt to connect directly, indirectTimeout that through another instance.
+	probeTimeout    = 250 * time.Millisecond
+	indirectTimeout = 600 * time.Millisecond
+	// maxForwarders is the number of instances that are asked for one connection.
+	maxForwarders = 3
+	// cutOffTime is how long a forwarder is asked last after it could not connect.
+	cutOffTime = 2 * time.Second
+)
+
+// Forwarder is another instance that opens connections to upstreams for this one.
+type Forwarder struct {
+	Name string
+	// Near is set if it is in the same availability zone.
+	Near bool
+	Dial func(c context.Context, address string) (net.Conn, error)
+}
+
+// Services are the dependencies of Paths.
+type Services struct {
+	Timer *timer.Service
+	Log   *zap.Logger
+	// Dial opens a direct connection.
+	Dial func(c context.Context, network, address string) (net.Conn, error)
+	// Forwarders returns other instances that serve, the best one first.
+	Forwarders func() []Forwarder
+	// OnStranded is called as Stranded changes. It must not call the Paths.
+	OnStranded func(stranded bool)
+	// Addresses returns the addresses of the upstreams.
+	Addresses func() []string
+}
+
+// Paths knows the paths of an instance. It is safe for concurrent use.
+type Paths struct {
+	Services
+	mu    sync.Mutex
+	reach *reach.Reach
+	// cutOff has the forwarders that could not connect to an upstream to which another one could, with the
+	// time until which they are asked last.
+	cutOff   map[string]time.Duration
+	stranded atomic.Bool
+	// waiting is the number of responses that are due, heard counts reads of data of upstreams.
+	waiting, heard atomic.Int64
+	// lastHeard is the value of heard that was last seen to change, at lastHeardAt. Only step uses them.
+	lastHeard   int64
+	lastHeardAt time.Duration
+}
+
+// New returns the Paths of an instance that has sent nothing yet.
+func New(s Services) *Paths {
+	s.Log = s.Log.Named("paths")
+	return &Paths{Services: s, reach: reach.New(), cutOff: map[string]time.Duration{}}
+}
+
+// Run tries direct connections as needed until c ends.
+func (p *Paths) Run(c context.Context) {
+	p.Timer.Subscribe(c, stepInterval, func(time.Time) { p.step(c) })
+}
+
+// Stranded reports whether this instance is cut off from all upstreams, or from most of them.
+func (p *Paths) Stranded() bool { return p.stranded.Load() }
+
+// Indirect reports whether requests to an upstream go through another instance.
+func (p *Paths) Indirect(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.reach.Indirect(address)
+}
+
+// Begin records that a response of an upstream is due, until the returned function is called.
+func (p *Paths) Begin() (end func()) {
+	p.waiting.Add(1)
+	return sync.OnceFunc(func() { p.waiting.Add(-1) })
+}
+
+// Heard records that data of an upstream has arrived directly.
+func (p *Paths) Heard() { p.heard.Add(1) }
+
+// RecordDirect records the outcome of an attempt to connect directly.
+func (p *Paths) RecordDirect(address string, err error) {
+	if errors.Is(err, context.Canceled) {
+		return
+	}
+	p.record(address, func(now time.Duration) { p.reach.RecordDirect(address, err == nil, now) })
+}
+
+func (p *Paths) record(address string, f func(now time.Duration)) {
+	p.mu.Lock()
+	before := p.reach.Indirect(address)
+	f(p.Timer.Boot())
+	after := p.reach.Indirect(address)
+	p.updateStranded()
+	p.mu.Unlock()
+	if before != after {
+		p.Log.Info("path to upstream", zap.String("address", address), zap.Bool("through-others", after))
+	}
+}
+
+func (p *Paths) updateStranded() {
+	if s := p.reach.Stranded(); p.stranded.Swap(s) != s {
+		p.Log.Warn("cut off from the upstreams", zap.Bool("cut", s))
+		p.OnStranded(s)
+	}
+}
+
+// DialIndirect opens a connection to an upstream through another instance. It fails with the error of the
+// last instance that was asked.
+func (p *Paths) DialIndirect(c context.Context, _, address string) (net.Conn, error) {
+	return p.dialIndirect(c, address, true)
+}
+
+// forwarders returns the instances to ask for one connection. The first two are of different availability
+// zones, since the links of a whole zone may be cut, the first one of this zone if near is set.
+func (p *Paths) forwarders(near bool) []Forwarder {
+	all, now := p.Forwarders(), p.Timer.Boot()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var first, second, last []Forwarder
+	for _, f := range all {
+		switch {
+		case now < p.cutOff[f.Name]:
+			last = append(last, f)
+		case f.Near == near:
+			first = append(first, f)
+		default:
+			second = append(second, f)
+		}
+	}
+	if len(first) > 1 {
+		second = append(second, first[1:]...)
+		first = first[:1]
+	}
+	out := append(append(first, second...), last...)
+	return out[:min(len(out), maxForwarders)]
+}
+
+func (p *Paths) dialIndirect(c context.Context, address string, near bool) (net.Conn, error) {
+	c, cancel := context.WithTimeout(c, indirectTimeout)
+	defer cancel()
+	var err error = &net.OpError{Op: "dial", Err: syscall.EHOSTUNREACH}
+	var failed []string
+	for _, f := range p.forwarders(near) {
+		n, x := f.Dial(c, address)
+		if x == nil {
+			p.record(address, func(now time.Duration) {
+				p.reach.RecordIndirect(address, now)
+				for _, name := range failed {
+					p.cutOff[name] = now + cutOffTime
+				}
+			})
+			return n, nil
+		}
+		err, failed = x, append(failed, f.Name)
+		if c.Err() != nil {
+			break
+		}
+	}
+	return nil, err
+}
+
+// HasEnded reports whether the process at an address has ended: its host refuses connections.
+func (p *Paths) HasEnded(c context.Context, address string) bool {
+	x, cancel := context.WithTimeout(c, probeTimeout)
+	defer cancel()
+	n, err := p.Dial(x, "tcp", address)
+	if err == nil {
+		_ = n.Close()
+	}
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return false
+	}
+	return true
+}
+
+func (p *Paths) step(c context.Context) {
+	now, addresses := p.Timer.Boot(), p.Addresses()
+	if h := p.heard.Load(); h != p.lastHeard || p.waiting.Load() == 0 {
+		p.lastHeard, p.lastHeardAt = h, now
+	}
+	p.mu.Lock()
+	p.reach.SetTargets(addresses)
+	p.updateStranded()
+	probes := p.reach.Probes(now-p.lastHeardAt >= silentTime, now)
+	p.mu.Unlock()
+	for _, a := range probes {
+		go p.probe(c, a)
+	}
+}
+
+// probe tries a direct connection and, if that fails for the first time, one through another instance.
+func (p *Paths) probe(c context.Context, address string) {
+	x, cancel := context.WithTimeout(c, probeTimeout)
+	defer cancel()
+	n, err := p.Dial(x, "tcp", address)
+	p.RecordDirect(address, err)
+	if err != nil && !p.Indirect(address) {
+		n, err = p.DialIndirect(c, "tcp", address)
+	}
+	if err == nil {
+		_ = n.Close()
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -22,6 +22,7 @@
 	"gentiangauge.example/gentiangauge/coordination/gossip"
 	"gentiangauge.example/gentiangauge/coordination/orders"
 	"gentiangauge.example/gentiangauge/coordination/ownership"
+	"gentiangauge.example/gentiangauge/coordination/paths"
 	"gentiangauge.example/gentiangauge/coordination/streams"
 	"gentiangauge.example/gentiangauge/coordination/suspect"
 	"gentiangauge.example/gentiangauge/protocol/dispatch"
@@ -34,6 +35,7 @@
 	"gentiangauge.example/gentiangauge/state/usage"
 	"gentiangauge.example/gentiangauge/timer"
 	"gentiangauge.example/gentiangauge/transport/mesh"
+	"gentiangauge.example/gentiangauge/transport/relay"
 	"gentiangauge.example/gentiangauge/transport/store"
 )
 
@@ -72,11 +74,9 @@
 	Tables  Tables
 	Store   *store.Store
 	Engines *orders.Engines
-	// Send sends a request to an upstream, as dispatch.Services.Send.
-	Send func(c context.Context, s dispatch.UpstreamRequest) (*dispatch.Response, error)
-	// HasEnded reports whether the process at an address has ended, so far as that can be told
-	// by a new connection to it.
-	HasEnded func(c context.Context, address string) bool
+	// Send sends a request to an upstream through Relay, as dispatch.Services.Send.
+	Send  func(c context.Context, s dispatch.UpstreamRequest) (*dispatch.Response, error)
+	Relay *relay.Relay
 	// The decode functions fail with an error that names the position of the fault in the row.
 	DecodeConfiguration  func(value []byte) (route.Config, error)
 	DecodeAdapterVersion func(value []byte) (AdapterVersion, error)
@@ -147,6 +147,9 @@
 	usageReports *usage.Reports
 	suspects     *suspect.Registry
 	streams      *streams.Registry
+	paths        *paths.Paths
+	// forwarded is the number of connections that this instance forwards for others.
+	forwarded atomic.Int64
 	// trials are the trials of suspected parts that this instance grants.
 	trials *suspicion.Trials
 	// verdictsStoredAt is when this instance last tried to store verdicts. Only housekeeping uses
@@ -218,6 +221,7 @@
 		NeedsOwner: e.needsOwner,
 	})
 	e.newStreams(log)
+	e.newPaths(log)
 	a := admission.New(e.pool, e.timer, log)
 	a.TakePermit, a.ReturnPermit, a.OnLimit = e.takePermit, e.returnPermit, e.announceLimit
 	e.orders = orders.New(e.ctx, e.LoadTiming, orders.Services{
@@ -228,8 +232,8 @@
 		Timer: e.timer, Pool: e.pool, Log: log, Table: e.table.Load, Versions: e.adapterVersions,
 		Charge: func(w *route.Workspace, n float64) error { return e.quota.charge(w, n, e.timer.Boot()) },
 		Refund: func(w *route.Workspace, n float64) { e.quota.refund(w, n, e.timer.Boot()) },
-		Load:   e.load, Reserve: e.reserve, HasOwner: e.hasOwner, ReportMissing: e.reportMissing, Send: e.Send, Rand: rand.Float64,
-		HasEnded: e.HasEnded, IsReplaced: e.isReplaced, Streams: e.streams, Suspects: e.suspects, TakeTrial: e.takeTrial, EndTrial: e.endTrial,
+		Load:   e.load, Reserve: e.reserve, HasOwner: e.hasOwner, ReportMissing: e.reportMissing, Send: e.send, Rand: rand.Float64,
+		HasEnded: e.paths.HasEnded, IsReplaced: e.isReplaced, Streams: e.streams, Suspects: e.suspects, TakeTrial: e.takeTrial, EndTrial: e.endTrial,
 		StopsAt:   func() time.Duration { return time.Duration(e.stopsAt.Load()) },
 		PeerCount: func() int { return int(e.peers.Load()) },
 		DataAges:  e.rowAges,
@@ -255,6 +259,7 @@
 	go e.ownership.Run(c)
 	go e.orders.Run(c)
 	go e.streams.Run(c)
+	go e.paths.Run(c)
 	go e.timer.Subscribe(c, usage.Interval, func(time.Time) { e.sendReports() })
 	go e.timer.Subscribe(c, housekeepingInterval, func(time.Time) { e.housekeeping(c) })
 	e.register(c)
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -197,7 +197,7 @@
 	k := e.feeds[e.Tables.Upstreams].Contact()
 	b := gossip.Heartbeat{
 		Run: e.run, Serving: e.Ready(), Zone: e.Zone, StoreUnstable: k.Unstable(now), ReadsStore: e.readsStore.Load(), StoreConfirmed: e.readsStore.Load() && k.Confirms(now), Uptime: now - e.startedAt, Lease: lease, Surrendered: surrendered,
-		Work: e.unownedWork(), Sent: e.retries.Counts(), Loading: e.orders.OwnLoads(), Versions: map[pool.Tag]mirror.Version{},
+		Work: e.unownedWork(), Sent: e.retries.Counts(), Loading: e.orders.OwnLoads(), Stranded: e.paths.Stranded(), Versions: map[pool.Tag]mirror.Version{},
 	}
 	if b.Uptime < introductionTime {
 		b.FrontAddress, b.PeerAddress = e.FrontAddress, e.PeerAddress
--- a/entry/owners.go
+++ b/entry/owners.go
@@ -164,8 +164,11 @@
 const replacedCheckTimeout = 100 * time.Millisecond
 
 // isReplaced reports whether an engine says that it has another start time than the known one. Without
-// an answer the send decides.
+// an answer the send decides. An engine that this instance does not reach directly is not asked.
 func (e *Entry) isReplaced(c context.Context, u pool.Upstream) bool {
+	if e.paths.Indirect(u.Address) {
+		return false
+	}
 	x, cancel := context.WithTimeout(c, replacedCheckTimeout)
 	defer cancel()
 	r, err := e.Engines.Report(x, u)
--- /dev/null
+++ b/entry/paths.go
@@ -0,0 +1,138 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"gentiangauge.example/gentiangauge/coordination/paths"
+	"gentiangauge.example/gentiangauge/protocol/dispatch"
+	"gentiangauge.example/gentiangauge/transport/mesh"
+)
+
+const (
+	// maxForwarded bounds the connections that an instance forwards for others, each of which takes some
+	// 100 KB.
+	maxForwarded = 192
+	// forwardTimeout is how long one instance may take to open a connection.
+	forwardTimeout = 450 * time.Millisecond
+	// drainPoll is how often a stopping instance checks whether it still forwards connections.
+	drainPoll = 50 * time.Millisecond
+)
+
+// newPaths creates the paths to the upstreams.
+func (e *Entry) newPaths(log *zap.Logger) {
+	e.paths = paths.New(paths.Services{
+		Timer: e.timer, Log: log, Dial: e.Relay.Dial, Forwarders: e.forwarders,
+		Addresses:  func() []string { return e.pool.Addresses(e.timer.Boot()) },
+		OnStranded: func(bool) {},
+	})
+	e.Relay.DialIndirect, e.Relay.Indirect, e.Relay.OnDial, e.Relay.OnRead = e.paths.DialIndirect, e.paths.Indirect, e.paths.RecordDirect, e.paths.Heard
+	e.mesh.DialUpstream = e.dialForPeer
+}
+
+// send sends a request to an upstream, and has the paths know that a response is due.
+func (e *Entry) send(c context.Context, s dispatch.UpstreamRequest) (*dispatch.Response, error) {
+	end := e.paths.Begin()
+	a, err := e.Send(c, s)
+	if err != nil {
+		end()
+		return nil, err
+	}
+	a.Body = notifyingBody{ReadCloser: a.Body, closed: end}
+	return a, nil
+}
+
+// notifyingBody is a response body that reports its end.
+type notifyingBody struct {
+	io.ReadCloser
+	closed func()
+}
+
+func (b notifyingBody) Close() error {
+	b.closed()
+	return b.ReadCloser.Close()
+}
+
+// forwarders returns the instances that serve, reach the upstreams themselves and have answered lately, in
+// an order that differs from one connection to the next.
+func (e *Entry) forwarders() []paths.Forwarder {
+	now := e.timer.Boot()
+	var out []paths.Forwarder
+	for _, p := range e.gossip.LivePeers(now) {
+		m, known := e.members.get(p.Name)
+		if !known || !p.Serving || p.Stranded || e.ownerCalls.backingOff(p.Name, now) {
+			continue
+		}
+		out = append(out, paths.Forwarder{Name: p.Name, Near: p.Zone == e.Zone, Dial: func(c context.Context, address string) (net.Conn, error) {
+			return e.connectThrough(c, p.Name, m, address)
+		}})
+	}
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out
+}
+
+// connectThrough opens a connection to an upstream through a member.
+func (e *Entry) connectThrough(c context.Context, name string, m member, address string) (net.Conn, error) {
+	x, cancel := context.WithTimeout(c, forwardTimeout)
+	defer cancel()
+	n, err := e.mesh.Connect(x, m.peer.String(), address)
+	if c.Err() == nil {
+		e.ownerCalls.recordCall(name, !eris.Is(err, mesh.ErrUnreachable), e.timer.Boot())
+	}
+	switch {
+	case err == nil:
+		e.log.Debug("connected through another instance", zap.String("address", address), zap.String("through", name))
+		return n, nil
+	case eris.Is(err, mesh.ErrUpstreamRefused):
+		err = &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
+	}
+	e.log.Info("no connection through another instance", zap.String("address", address), zap.String("through", name), zap.Error(err))
+	return nil, err
+}
+
+// dialForPeer opens a connection to an upstream for another instance. It goes no further: this instance
+// connects directly or not at all.
+func (e *Entry) dialForPeer(c context.Context, address string) (net.Conn, error) {
+	if !slices.Contains(e.pool.Addresses(e.timer.Boot()), address) {
+		return nil, eris.Wrapf(mesh.ErrRefused, "%s is not the address of an upstream", address)
+	}
+	if e.forwarded.Add(1) > maxForwarded {
+		e.forwarded.Add(-1)
+		return nil, eris.Wrapf(mesh.ErrRefused, "%d connections are forwarded", maxForwarded)
+	}
+	n, err := e.Relay.Dial(c, "tcp", address)
+	e.paths.RecordDirect(address, err)
+	if err != nil {
+		e.forwarded.Add(-1)
+		return nil, err
+	}
+	return &countedConn{Conn: n, count: &e.forwarded}, nil
+}
+
+// countedConn is a connection that is counted until it is closed.
+type countedConn struct {
+	net.Conn
+	count *atomic.Int64
+	once  sync.Once
+}
+
+func (k *countedConn) Close() error {
+	k.once.Do(func() { k.count.Add(-1) })
+	return k.Conn.Close()
+}
+
+// AwaitForwarded waits until no connection is forwarded any more, or c ends.
+func (e *Entry) AwaitForwarded(c context.Context) {
+	for e.forwarded.Load() > 0 && e.timer.Wait(c, drainPoll) == nil {
+	}
+}
--- a/state/pool/pool.go
+++ b/state/pool/pool.go
@@ -223,6 +223,19 @@
 	return out
 }
 
+// Addresses returns the addresses of the upstreams that are not removed.
+func (p *Pool) Addresses(now time.Duration) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make([]string, 0, len(p.entries))
+	for _, e := range p.entries {
+		if e.active(now) {
+			out = append(out, e.Address)
+		}
+	}
+	return out
+}
+
 // ByTag returns the ID of the upstream with a tag.
 func (p *Pool) ByTag(t Tag) (ID, bool) {
 	p.mu.Lock()
--- a/transport/mesh/mesh.go
+++ b/transport/mesh/mesh.go
@@ -38,6 +38,9 @@
 type Mesh struct {
 	// Dial opens a connection to a peer. Tests may replace it.
 	Dial func(c context.Context, address string) (net.Conn, error)
+	// DialUpstream opens a connection to an upstream for another instance. It fails with ErrRefused if
+	// this instance forwards nothing to the address now. Nil forwards nothing.
+	DialUpstream func(c context.Context, address string) (net.Conn, error)
 	// OnTransfer is called with the number of bytes of each read and write, for
 	// metrics.
 	OnTransfer func(received, sent int)
--- a/transport/mesh/peer.go
+++ b/transport/mesh/peer.go
@@ -25,7 +25,7 @@
 }
 
 func (m *Mesh) call(c context.Context, address, method string, body []byte) ([]byte, error) {
-	x, err := m.open(c, address)
+	x, err := m.open(c, address, false)
 	if err != nil {
 		return nil, eris.Wrap(ErrUnreachable, err.Error())
 	}
@@ -59,9 +59,9 @@
 	return &r, nil
 }
 
-// open returns an idle stream to a peer, or a new one.
-func (m *Mesh) open(c context.Context, address string) (*stream, error) {
-	p, x := m.takeIdle(address)
+// open returns an idle stream to a peer, or a new one. If fresh is set, it is a new one.
+func (m *Mesh) open(c context.Context, address string, fresh bool) (*stream, error) {
+	p, x := m.takeIdle(address, fresh)
 	if x != nil {
 		return x, nil
 	}
@@ -79,14 +79,14 @@
 	return &stream{Conn: conn, reader: bufio.NewReader(conn)}, nil
 }
 
-func (m *Mesh) takeIdle(address string) (*peer, *stream) {
+func (m *Mesh) takeIdle(address string, fresh bool) (*peer, *stream) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	p, ok := m.peers[address]
 	if !ok || p.session.IsClosed() {
 		return nil, nil
 	}
-	if len(p.idle) == 0 {
+	if fresh || len(p.idle) == 0 {
 		return p, nil
 	}
 	x := p.idle[len(p.idle)-1]
--- a/transport/mesh/serve.go
+++ b/transport/mesh/serve.go
@@ -66,14 +66,19 @@
 	defer conn.Close()
 	c, cancel := context.WithCancel(c)
 	defer cancel()
-	calls := ring.New[*request](1)
+	calls, r := ring.New[*request](1), bufio.NewReader(conn)
 	go func() {
-		defer cancel()
-		readRequests(c, conn, calls)
+		if !readRequests(c, r, calls) {
+			cancel()
+		}
 	}()
 	for {
 		select {
 		case q := <-calls.Out():
+			if q.Method == connectMethod {
+				m.serveConnect(c, conn, r, q)
+				return
+			}
 			if m.serveCall(c, conn, q) != nil {
 				return
 			}
@@ -83,12 +88,16 @@
 	}
 }
 
-func readRequests(c context.Context, conn net.Conn, calls *ring.Ring[*request]) {
-	r := bufio.NewReader(conn)
+// readRequests reads requests until the caller closes the stream, or asks for a connection, whose data
+// follows. It returns true then.
+func readRequests(c context.Context, r *bufio.Reader, calls *ring.Ring[*request]) bool {
 	for {
 		q := &request{}
 		if read(r, q) != nil || calls.Put(c, q) != nil {
-			return
+			return false
+		}
+		if q.Method == connectMethod {
+			return true
 		}
 	}
 }
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -5,9 +5,11 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/textproto"
 	"strings"
 	"sync/atomic"
@@ -40,8 +42,17 @@
 type Relay struct {
 	// Dial opens a connection to an upstream. Tests may replace it.
 	Dial func(c context.Context, network, address string) (net.Conn, error)
+	// DialIndirect opens a connection through another instance, for upstreams to which Indirect returns
+	// true or no direct connection can be opened. Nil opens none.
+	DialIndirect func(c context.Context, network, address string) (net.Conn, error)
+	Indirect     func(address string) bool
+	// OnDial is called with the outcome of each attempt to connect directly, OnRead as data arrives on a
+	// direct connection. Nil ignores them.
+	OnDial func(address string, err error)
+	OnRead func()
 
-	shared *http.Client
+	// shared has the direct connections that are kept, indirect the others.
+	shared, indirect *http.Client
 }
 
 // ErrResponseTooLarge means that a response exceeds its size limit. An upstream may send
@@ -51,6 +62,8 @@
 const (
 	dialTimeout     = time.Second
 	idleConnections = 64
+	// indirectIdleTimeout is short, since a connection through another instance takes part of its room.
+	indirectIdleTimeout = 2 * time.Second
 	// MaxHeaderBytes bounds the header of a response, at four times what callers may
 	// send.
 	MaxHeaderBytes = 64 << 10
@@ -70,23 +83,56 @@
 func New() *Relay {
 	d := &net.Dialer{Timeout: dialTimeout}
 	r := &Relay{Dial: d.DialContext}
-	r.shared = &http.Client{
+	r.shared = newClient(r.dialDirect, time.Minute)
+	r.indirect = newClient(func(c context.Context, network, address string) (net.Conn, error) {
+		return r.DialIndirect(c, network, address)
+	}, indirectIdleTimeout)
+	return r
+}
+
+func newClient(dial func(c context.Context, network, address string) (net.Conn, error), idle time.Duration) *http.Client {
+	return &http.Client{
 		Transport: &http.Transport{
-			DialContext: r.dial, MaxResponseHeaderBytes: MaxHeaderBytes, MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: time.Minute, DisableCompression: true,
+			DialContext: dial, MaxResponseHeaderBytes: MaxHeaderBytes, MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: idle, DisableCompression: true,
 		},
 		CheckRedirect: noRedirect,
 	}
-	return r
 }
 
-func (r *Relay) dial(c context.Context, network, address string) (net.Conn, error) {
-	return r.Dial(c, network, address)
+func (r *Relay) dialDirect(c context.Context, network, address string) (net.Conn, error) {
+	n, err := r.Dial(c, network, address)
+	if r.OnDial != nil {
+		r.OnDial(address, err)
+	}
+	if err != nil || r.OnRead == nil {
+		return n, err
+	}
+	return readNotifyingConn{Conn: n, onRead: r.OnRead}, nil
+}
+
+// readNotifyingConn reports that data has arrived.
+type readNotifyingConn struct {
+	net.Conn
+	onRead func()
+}
+
+func (c readNotifyingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.onRead()
+	}
+	return n, err
 }
 
 func noRedirect(*http.Request, []*http.Request) error {
 	return http.ErrUseLastResponse
 }
 
+// prefersIndirect reports whether an upstream is connected to through another instance first.
+func (r *Relay) prefersIndirect(address string) bool {
+	return r.DialIndirect != nil && r.Indirect(address)
+}
+
 // writeTrackingConn records whether anything was written to the connection.
 type writeTrackingConn struct {
 	net.Conn
@@ -98,22 +144,40 @@
 	return c.Conn.Write(b)
 }
 
-// Send sends a request that may be repeated. It may reuse an idle connection. The
-// caller closes the body of the response.
+// Send sends a request that may be repeated. It may reuse an idle connection. If no connection can be
+// opened, it sends the request through another instance. The caller closes the body of the response.
 func (r *Relay) Send(c context.Context, q Request) (*http.Response, error) {
+	first, second := r.shared, r.indirect
+	switch {
+	case r.DialIndirect == nil:
+		second = nil
+	case r.prefersIndirect(q.Address):
+		first, second = second, first
+	}
+	a, err := send(c, first, q)
+	if second != nil && errors.Is(err, ErrNotSent) && c.Err() == nil {
+		return send(c, second, q)
+	}
+	return a, err
+}
+
+func send(c context.Context, k *http.Client, q Request) (*http.Response, error) {
 	h, err := newRequest(c, q)
 	if err != nil {
 		return nil, eris.Wrap(ErrNotSent, err.Error())
 	}
-	a, err := r.shared.Do(h)
-	if err == nil {
+	// The connection is known to carry nothing of the request as long as none was obtained.
+	var connected atomic.Bool
+	h = h.WithContext(httptrace.WithClientTrace(c, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}))
+	a, err := k.Do(h)
+	switch {
+	case err == nil:
 		return a, nil
-	}
-	var o *net.OpError
-	if eris.As(err, &o) && o.Op == "dial" {
+	case connected.Load():
+		return nil, eris.Wrap(ErrConnectionBroken, err.Error())
+	default:
 		return nil, eris.Wrap(ErrNotSent, err.Error())
 	}
-	return nil, eris.Wrap(ErrConnectionBroken, err.Error())
 }
 
 // SendOnce sends a request that must not run twice. It opens a new connection, because
@@ -127,7 +191,7 @@
 	wrote := &atomic.Bool{}
 	t := &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: MaxHeaderBytes}
 	t.DialContext = func(c context.Context, network, address string) (net.Conn, error) {
-		n, err := r.Dial(c, network, address)
+		n, err := r.dialAny(c, network, address)
 		if err != nil {
 			return nil, err
 		}
@@ -144,6 +208,22 @@
 	}
 }
 
+// dialAny opens a connection over the better path, or over the other one.
+func (r *Relay) dialAny(c context.Context, network, address string) (net.Conn, error) {
+	if r.DialIndirect == nil {
+		return r.dialDirect(c, network, address)
+	}
+	first, second := r.dialDirect, r.DialIndirect
+	if r.prefersIndirect(address) {
+		first, second = second, first
+	}
+	n, err := first(c, network, address)
+	if err == nil || c.Err() != nil {
+		return n, err
+	}
+	return second(c, network, address)
+}
+
 func newRequest(c context.Context, q Request) (*http.Request, error) {
 	h, err := http.NewRequestWithContext(c, q.Method, "http://"+q.Address+q.RequestURI, io.NopCloser(bytes.NewReader(q.Body)))
 	if err != nil {
