ownership: an owner that is cut off from the upstreams leaves its engines to others

Cause: an owner kept its claims as long as it reached the store. Orders cannot go through another instance, since engines know their holder by the machine. TestSuspendedOwnerIsReplacedAtOnce fails if the lease holds on (two holders); schedules with suspended owners: TestOneOwnerThroughSuspendedOwners.

--- a/coordination/ownership/claim.go
+++ b/coordination/ownership/claim.go
@@ -25,7 +25,7 @@
 	now := o.Timer.Boot()
 	o.mu.Lock()
 	o.observeEra()
-	leaving, lease, renewedAt := o.leaving, o.lease, o.renewedAt
+	leaving, lease, renewedAt := o.leaving || o.suspended, o.lease, o.renewedAt
 	o.mu.Unlock()
 	if leaving {
 		return
--- a/coordination/ownership/ownership.go
+++ b/coordination/ownership/ownership.go
@@ -106,6 +106,8 @@
 	renewedAt time.Duration
 	seq       int64
 	leaving   bool
+	// suspended is set while this instance must not give orders.
+	suspended bool
 	// removedLeases has, by owner, the version of the lease that was removed last. An
 	// owner that cannot reach the store keeps advertising its removed lease.
 	removedLeases map[string]mirror.Version
@@ -198,7 +200,7 @@
 }
 
 func (o *Ownership) leaseUnexpired(now time.Duration) bool {
-	return !o.leaving && o.lease != 0 && now-o.renewedAt < leaseDuration
+	return !o.leaving && !o.suspended && o.lease != 0 && now-o.renewedAt < leaseDuration
 }
 
 // Owner returns the owner of an upstream, and false if no claim is known.
@@ -267,6 +269,16 @@
 	o.leaving = true
 }
 
+// Suspend stops all orders of this instance for as long as on is set, so that others can take its claims
+// over. Afterwards it gives orders again once it has renewed its lease.
+func (o *Ownership) Suspend(on bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.suspended = on
+	o.renewedAt = o.Timer.Boot() - leaseDuration
+	o.Log.Info("orders suspended", zap.Bool("suspended", on))
+}
+
 // MarkFenced discards the claim on an upstream that has seen a higher fencing token
 // than the one of this instance.
 func (o *Ownership) MarkFenced(id pool.ID) {
--- a/coordination/ownership/ownership_test.go
+++ b/coordination/ownership/ownership_test.go
@@ -153,6 +153,12 @@
 	rapid.Check(t, func(t *rapid.T) { runSchedule(t, 11) })
 }
 
+// TestOneOwnerThroughSuspendedOwners draws the same schedules with owners that are cut off from the
+// upstreams, and surrender their leases while that lasts.
+func TestOneOwnerThroughSuspendedOwners(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { runSchedule(t, 13) })
+}
+
 // runSchedule draws acts up to a number and checks the tokens after each of them.
 func runSchedule(t *rapid.T, lastAct int) {
 	w := newFleet(3)
@@ -187,6 +193,8 @@
 			c = w.store.Copy()
 		case 11:
 			w.store.Restore(c)
+		case 12, 13:
+			pick("suspends").ownership.Suspend(rapid.Bool().Draw(t, "suspended"))
 		}
 		w.checkTokens(t.Fatalf)
 	}
@@ -377,3 +385,38 @@
 		t.Error("a fenced owner has a token")
 	}
 }
+
+// An owner is cut off from the upstreams and suspends its orders. Another instance takes over well before
+// the lease ends, and the first one gives no orders once it reaches the upstreams again.
+func TestSuspendedOwnerIsReplacedAtOnce(t *testing.T) {
+	w := newFleet(3)
+	w.runFor(5 * time.Second)
+	holder := func() *node {
+		for _, n := range w.all {
+			if _, err := n.ownership.Token("u0", w.now); err == nil {
+				return n
+			}
+		}
+		return nil
+	}
+	first := holder()
+	first.ownership.Suspend(true)
+	if holder() != nil {
+		t.Fatal("a suspended owner gives orders")
+	}
+	// It does not learn that its claim has been taken over.
+	first.storeDown = true
+	w.runFor(3 * time.Second)
+	second := holder()
+	if second == nil || second == first {
+		t.Fatal("no other instance has taken the upstream over within 3 s")
+	}
+	first.ownership.Suspend(false)
+	w.checkTokens(t.Fatalf)
+	first.storeDown = false
+	w.runFor(3 * time.Second)
+	w.checkTokens(t.Fatalf)
+	if holder() != second {
+		t.Error("the claim has gone back")
+	}
+}
--- a/entry/paths.go
+++ b/entry/paths.go
@@ -34,7 +34,7 @@
 	e.paths = paths.New(paths.Services{
 		Timer: e.timer, Log: log, Dial: e.Relay.Dial, Forwarders: e.forwarders,
 		Addresses:  func() []string { return e.pool.Addresses(e.timer.Boot()) },
-		OnStranded: func(bool) {},
+		OnStranded: func(cut bool) { e.ownership.Suspend(cut) },
 	})
 	e.Relay.DialIndirect, e.Relay.Indirect, e.Relay.OnDial, e.Relay.OnRead = e.paths.DialIndirect, e.paths.Indirect, e.paths.RecordDirect, e.paths.Heard
 	e.mesh.DialUpstream = e.dialForPeer
