paths: a connection that is refused to one instance is not the end of an upstream

What callers would see: an instance whose connections are refused, while kept ones break, has all others keep away from sound upstreams for 2 s, one after the other.

Cause: since a refused connection at one instance is the end of the process for all. Change: instances of another zone, or else of this one, must be refused too.

--- a/coordination/paths/paths.go
+++ b/coordination/paths/paths.go
@@ -181,7 +181,9 @@
 	return nil, err
 }
 
-// HasEnded reports whether the process at an address has ended: its host refuses connections.
+// HasEnded reports whether the process at an address has ended: its host refuses connections, also those of
+// other instances, if there are any. Instances of another availability zone are asked first, since the
+// links of a whole zone may be cut.
 func (p *Paths) HasEnded(c context.Context, address string) bool {
 	x, cancel := context.WithTimeout(c, probeTimeout)
 	defer cancel()
@@ -192,7 +194,14 @@
 	if !errors.Is(err, syscall.ECONNREFUSED) {
 		return false
 	}
-	return true
+	p.RecordDirect(address, err)
+	if len(p.Forwarders()) == 0 {
+		return true
+	}
+	if n, err = p.dialIndirect(c, address, false); err == nil {
+		_ = n.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
 func (p *Paths) step(c context.Context) {
--- a/coordination/paths/paths_test.go
+++ b/coordination/paths/paths_test.go
@@ -61,6 +61,32 @@
 	return x
 }
 
+// The host of an upstream refuses connections of this instance. That is the end of its process only if
+// those of instances elsewhere are refused too.
+func TestRefusedConnectionAloneIsNotTheEndOfAnUpstream(t *testing.T) {
+	refused := error(syscall.ECONNREFUSED)
+	for name, c := range map[string]struct {
+		direct    error
+		near, far []error
+		want      bool
+	}{
+		"no other instance":           {refused, nil, nil, true},
+		"refused to all":              {refused, []error{refused}, []error{refused}, true},
+		"refused to the zone":         {refused, []error{refused, refused}, []error{nil}, false},
+		"reached by a neighbour":      {refused, []error{nil}, nil, false},
+		"others do not answer":        {refused, nil, []error{errSilent}, false},
+		"silent here, refused there":  {errSilent, nil, []error{refused}, false},
+		"connected here":              {nil, nil, []error{refused}, false},
+		"refused there, reached near": {refused, []error{nil}, []error{refused}, false},
+	} {
+		x := newTestPaths()
+		x.direct, x.near, x.far = c.direct, c.near, c.far
+		if got := x.HasEnded(t.Context(), address); got != c.want {
+			t.Errorf("%s: ended %v, want %v", name, got, c.want)
+		}
+	}
+}
+
 // The links of a whole availability zone are cut. A forwarder of another zone is asked for each connection,
 // and those that could not connect are asked last then.
 func TestForwardersOfAnotherZoneAreAsked(t *testing.T) {
