--- a/entry/entry.go
+++ b/entry/entry.go
@@ -149,7 +149,8 @@
 	streams      *streams.Registry
 	paths        *paths.Paths
 	// forwarded is the number of connections that this instance forwards for others.
-	forwarded atomic.Int64
+	forwarded    atomic.Int64
+	forwarderUse forwarderUse
 	// trials are the trials of suspected parts that this instance grants.
 	trials *suspicion.Trials
 	// verdictsStoredAt is when this instance last tried to store verdicts. Only housekeeping uses
@@ -260,6 +261,7 @@
 	go e.orders.Run(c)
 	go e.streams.Run(c)
 	go e.paths.Run(c)
+	go e.timer.Subscribe(c, pingInterval, func(time.Time) { e.checkForwarders(c) })
 	go e.timer.Subscribe(c, usage.Interval, func(time.Time) { e.sendReports() })
 	go e.timer.Subscribe(c, housekeepingInterval, func(time.Time) { e.housekeeping(c) })
 	e.register(c)
--- a/entry/paths.go
+++ b/entry/paths.go
@@ -25,6 +25,11 @@
 	maxForwarded = 192
 	// forwardTimeout is how long one instance may take to open a connection.
 	forwardTimeout = 450 * time.Millisecond
+	pingMethod     = "paths/ping"
+	// pingInterval is the time between two checks of the instances that forward connections, pingTimeout
+	// how long they may take to answer.
+	pingInterval = 500 * time.Millisecond
+	pingTimeout  = time.Second
 	// drainPoll is how often a stopping instance checks whether it still forwards connections.
 	drainPoll = 50 * time.Millisecond
 )
@@ -38,6 +43,7 @@
 	})
 	e.Relay.DialIndirect, e.Relay.Indirect, e.Relay.OnDial, e.Relay.OnRead = e.paths.DialIndirect, e.paths.Indirect, e.paths.RecordDirect, e.paths.Heard
 	e.mesh.DialUpstream = e.dialForPeer
+	mesh.Handle(e.mesh, pingMethod, func(context.Context, string, *pingMessage) (*pingMessage, error) { return &pingMessage{}, nil })
 }
 
 // send sends a request to an upstream, and has the paths know that a response is due.
@@ -92,7 +98,7 @@
 	switch {
 	case err == nil:
 		e.log.Debug("connected through another instance", zap.String("address", address), zap.String("through", name))
-		return n, nil
+		return e.forwarderUse.add(name, n), nil
 	case eris.Is(err, mesh.ErrUpstreamRefused):
 		err = &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
 	}
@@ -100,6 +106,60 @@
 	return nil, err
 }
 
+// forwarderUse counts the connections through each other instance.
+type forwarderUse struct {
+	mu   sync.Mutex
+	open map[string]*atomic.Int64
+}
+
+// add counts a connection until it is closed.
+func (u *forwarderUse) add(name string, n net.Conn) net.Conn {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.open == nil {
+		u.open = map[string]*atomic.Int64{}
+	}
+	if u.open[name] == nil {
+		u.open[name] = &atomic.Int64{}
+	}
+	u.open[name].Add(1)
+	return &countedConn{Conn: n, count: u.open[name]}
+}
+
+// names returns the instances through which connections are open.
+func (u *forwarderUse) names() (out []string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for name, n := range u.open {
+		if n.Load() > 0 {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+type pingMessage struct{ mesh.Message }
+
+// checkForwarders breaks the connections through instances that do not answer, such as frozen ones: no
+// end of a connection would show that.
+func (e *Entry) checkForwarders(c context.Context) {
+	for _, name := range e.forwarderUse.names() {
+		m, known := e.members.get(name)
+		if !known {
+			continue
+		}
+		go func() {
+			x, cancel := context.WithTimeout(c, pingTimeout)
+			defer cancel()
+			if _, err := mesh.Call[pingMessage, pingMessage](x, e.mesh, m.peer.String(), pingMethod, &pingMessage{}); err != nil {
+				e.log.Info("instance that forwards connections does not answer; breaking them", zap.String("through", name), zap.Error(err))
+				e.ownerCalls.recordCall(name, false, e.timer.Boot())
+				e.mesh.Disconnect(m.peer.String())
+			}
+		}()
+	}
+}
+
 // dialForPeer opens a connection to an upstream for another instance. It goes no further: this instance
 // connects directly or not at all.
 func (e *Entry) dialForPeer(c context.Context, address string) (net.Conn, error) {
