pool, admission: the owner of a brittle upstream grants its room

What callers would see: an upstream that is brittle (Server-Brittle) falls over for seconds as soon as all instances together make it reject some requests within a second.

Cause: each instance sends what it has, by its own view of the upstream; rejections are a way to learn that it is full. Change: as with rate limits, requests to a brittle upstream take a permit of its owner, which grants no more than its slots less an eighth, and its KV cache. A rejection takes room away: nothing for a second, then one request more each half second. The first 5 s of an owner count what the instances report, too.

--- a/coordination/gossip/heartbeat.go
+++ b/coordination/gossip/heartbeat.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"gentiangauge.example/gentiangauge/state/allowance"
@@ -132,6 +133,8 @@
 	LimitStarts    []int64   `protobuf:"varint,34,rep,packed,name=limit_starts,proto3"`
 	LimitRates     []float64 `protobuf:"fixed64,35,rep,packed,name=limit_rates,proto3"`
 	LimitRevisions []int64   `protobuf:"varint,36,rep,packed,name=limit_revisions,proto3"`
+	// BrittleUpstreams are those of LimitUpstreams that are brittle.
+	BrittleUpstreams []uint32 `protobuf:"fixed32,42,rep,packed,name=brittle_upstreams,proto3"`
 	// LimitsOnly marks a message that is no heartbeat and carries only limits.
 	LimitsOnly bool `protobuf:"varint,37,opt,name=limits_only,proto3"`
 	// Suspicions is an announcement of package suspect; SuspicionsOnly marks a message that
@@ -191,6 +194,9 @@
 	for _, l := range b.Limits {
 		m.LimitUpstreams, m.LimitStarts = append(m.LimitUpstreams, uint32(l.Upstream)), append(m.LimitStarts, l.StartedAt)
 		m.LimitRates, m.LimitRevisions = append(m.LimitRates, float64(l.Rate)), append(m.LimitRevisions, l.Revision)
+		if l.Brittle {
+			m.BrittleUpstreams = append(m.BrittleUpstreams, uint32(l.Upstream))
+		}
 	}
 	return m
 }
@@ -249,7 +255,9 @@
 	for i := range min(len(m.LimitUpstreams), len(m.LimitStarts), len(m.LimitRates), len(m.LimitRevisions)) {
 		b.Limits = append(b.Limits, pool.UpstreamLimit{
 			Upstream: pool.Tag(m.LimitUpstreams[i]), StartedAt: m.LimitStarts[i],
-			Limit: pool.Limit{Rate: pool.RequestsPerSecond(m.LimitRates[i]), Revision: m.LimitRevisions[i]},
+			Limit: pool.Limit{
+				Rate: pool.RequestsPerSecond(m.LimitRates[i]), Brittle: slices.Contains(m.BrittleUpstreams, m.LimitUpstreams[i]), Revision: m.LimitRevisions[i],
+			},
 		})
 	}
 	return b
--- a/coordination/orders/orders.go
+++ b/coordination/orders/orders.go
@@ -204,7 +204,7 @@
 	}
 	x, cancel := context.WithTimeout(c, reportTimeout)
 	defer cancel()
-	if _, err := o.Admission.Check(x, u, "report"); err != nil {
+	if err := o.Admission.CheckOrder(x, u, "report"); err != nil {
 		return eris.Wrap(ErrStateUnknown, err.Error())
 	}
 	r, err := o.Engines.Report(x, u)
@@ -242,7 +242,7 @@
 	q.Upstream, q.Sequence, q.Token = e.upstream, e.sequence, t
 	x, cancel := context.WithTimeout(context.WithoutCancel(c), orderTimeout)
 	defer cancel()
-	if _, err := o.Admission.Check(x, q.Upstream, "order"); err != nil {
+	if err := o.Admission.CheckOrder(x, q.Upstream, "order"); err != nil {
 		return 0, eris.Wrap(ErrNotAdmitted, err.Error())
 	}
 	a, err := o.Engines.Order(x, q)
--- a/coordination/orders/orders_test.go
+++ b/coordination/orders/orders_test.go
@@ -422,7 +422,7 @@
 func TestLimitedEngineGetsOrdersWithPermits(t *testing.T) {
 	h := newHarness(t, 0)
 	granted := true
-	h.admission.TakePermit = func(context.Context, pool.Upstream) (pool.PermitAnswer, error) {
+	h.admission.TakePermit = func(context.Context, pool.Upstream, pool.Need) (pool.PermitAnswer, error) {
 		return pool.PermitAnswer{Granted: granted, Wait: time.Second}, nil
 	}
 	for n := range slotCount {
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -26,6 +26,9 @@
 	housekeepingInterval = 250 * time.Millisecond
 	// memberTimeout is the time without heartbeats after which the row of a member is deleted.
 	memberTimeout = 20 * time.Second
+	// roomTimeout is the time without heartbeats after which the requests of an instance are taken to have
+	// left the brittle upstreams.
+	roomTimeout = 5 * time.Second
 	// introductionTime is how long after its start an instance sends its addresses in heartbeats,
 	// for peers that have not read its row from the store yet.
 	introductionTime = 10 * time.Second
@@ -303,6 +306,9 @@
 	}
 	for _, p := range e.gossip.SilentPeers(now, memberTimeout) {
 		e.pool.SetPeer(p.Name, nil)
+		if now-p.ReceivedAt > roomTimeout {
+			e.pool.ForgetRoom(p.Name)
+		}
 		if m, ok := e.members.get(p.Name); ok && now-p.ReceivedAt > memberTimeout {
 			e.retries.RemoveInstance(p.Name)
 			e.removeMember(c, p.Name, m)
--- a/protocol/dispatch/attempt.go
+++ b/protocol/dispatch/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"gentiangauge.example/gentiangauge/coordination/admission"
 	"gentiangauge.example/gentiangauge/refusal"
 	"gentiangauge.example/gentiangauge/state/pool"
 	"gentiangauge.example/gentiangauge/transport/relay"
@@ -62,14 +63,18 @@
 			d.countEnd(j, h.ID)
 			return d.finalError(c, j, last, err)
 		}
-		if j.permitted, err = d.Admission.Check(c, h.Upstream, j.ID); err != nil {
+		if j.permitted, err = d.Admission.CheckRequest(c, h.Upstream, j.ID, pool.Need{Lifetime: j.deadline - d.Timer.Boot(), Tokens: j.tokens}); err != nil {
 			d.countEnd(j, h.ID)
 			d.endTrial(j)
 			j.avoid[h.ID] = true
 			last = err
 			continue
 		}
+		j.outcome = admission.Finished
 		err = d.send(c, w, j)
+		if j.permitted {
+			d.Admission.End(h.Upstream, j.outcome)
+		}
 		d.countEnd(j, h.ID)
 		d.endTrial(j)
 		if err == nil || errors.Is(err, ErrTruncated) {
@@ -166,7 +171,7 @@
 	d.recordBegin(j, false)
 	q := UpstreamRequest{
 		Request: j.Request, Upstream: j.choice.Upstream, Version: j.choice.Version, Remaining: j.deadline - sent,
-		Urgency: d.urgency(j), ResumeAfter: j.lastEvent, AtMostOnce: !j.route.Repeatable() || j.permitted,
+		Urgency: d.urgency(j), ResumeAfter: j.lastEvent, AtMostOnce: !j.route.Repeatable() || j.permitted && d.Pool.Limit(j.choice.ID).Rate > 0,
 	}
 	if j.workspace != nil {
 		q.Workspace = j.workspace.Name
@@ -318,9 +323,7 @@
 	}
 	d.Log.Info("sending to upstream failed", zap.String("request", j.ID), zap.String("upstream", string(j.choice.ID)), zap.Error(err))
 	if errors.Is(err, relay.ErrNotSent) {
-		if j.permitted {
-			d.Admission.Return(j.choice.Upstream)
-		}
+		j.outcome = admission.NotSent
 		return eris.Wrap(errTryAnother, "the upstream cannot be reached")
 	}
 	j.runs++
@@ -343,6 +346,7 @@
 		} else {
 			d.Pool.RecordOutcome(id, pool.Busy, now)
 			j.avoid[id] = true
+			j.outcome = admission.Rejected
 		}
 		return eris.Wrapf(errTryAnother, "the upstream did not run the request, status %d", a.Status)
 	case !a.Signed || !a.Matches:
--- a/protocol/dispatch/dispatch.go
+++ b/protocol/dispatch/dispatch.go
@@ -229,8 +229,10 @@
 	// comes from an older version of the adapter, or 0. outdated is set once it has passed.
 	oldUntil time.Duration
 	outdated atomic.Bool
-	// permitted is set if the present send has taken a permit for a limited upstream.
+	// permitted is set if the present send has taken a permit for a limited or brittle upstream, outcome how
+	// it has ended.
 	permitted bool
+	outcome   admission.Outcome
 	// knownParts is the result of parts.
 	knownParts []suspicion.Part
 	// trial is the suspected part for whose trial the present send was granted, or 0.
--- a/protocol/dispatch/dispatch_test.go
+++ b/protocol/dispatch/dispatch_test.go
@@ -545,11 +545,15 @@
 	for _, u := range b.pool.Upstreams(b.timer.Boot()) {
 		b.pool.ApplyNotice(u, pool.Notice{StatesLimit: true, Limit: 1}, b.timer.Boot())
 	}
-	b.admission.TakePermit = func(context.Context, pool.Upstream) (pool.PermitAnswer, error) {
+	b.admission.TakePermit = func(context.Context, pool.Upstream, pool.Need) (pool.PermitAnswer, error) {
 		*taken++
 		return grant(*taken), nil
 	}
-	b.admission.ReturnPermit = func(pool.Upstream) { *returned++ }
+	b.admission.ReturnPermit = func(_ pool.Upstream, o admission.Outcome) {
+		if o == admission.NotSent {
+			*returned++
+		}
+	}
 	return taken, returned
 }
 
--- a/state/pool/admission.go
+++ b/state/pool/admission.go
@@ -14,7 +14,7 @@
 
 // Verdicts. Replaced means that the upstream's process has restarted since the upstream
 // was chosen, Paused that the upstream has asked for a pause of a given length. An
-// upstream with a rate limit is NeedsPermit if its owner may grant a permit for the
+// upstream with a rate limit, or a brittle one, is NeedsPermit if its owner may grant a permit for the
 // request, and Limited for the time before which it will grant none.
 const (
 	Admitted    Verdict = iota // admitted
@@ -45,6 +45,11 @@
 	// Limit, or 0 for none.
 	StatesLimit bool
 	Limit       RequestsPerSecond
+	// StatesBrittle is set when the response states whether the upstream is brittle.
+	StatesBrittle bool
+	Brittle       bool
+	// InvalidBrittle is the quoted text of such a statement that cannot be parsed; it is ignored.
+	InvalidBrittle string
 	// InvalidLimit is the quoted text of a limit that cannot be parsed; such a limit is
 	// ignored.
 	InvalidLimit string
@@ -91,7 +96,7 @@
 		return Leaving
 	case now < e.reported.pausedUntil:
 		return Paused
-	case e.reported.limit.Rate == 0:
+	case !e.reported.limit.NeedsPermit():
 		return Admitted
 	case now < e.permitsAt:
 		return Limited
--- a/state/pool/limit.go
+++ b/state/pool/limit.go
@@ -5,11 +5,14 @@
 // RequestsPerSecond is a rate of requests.
 type RequestsPerSecond float64
 
-// Limit is the rate limit that an upstream has set for the requests of all instances
-// together. Instances exchange it; a higher revision replaces a lower one.
+// Limit is what an upstream has stated about the requests of all instances together.
+// Instances exchange it; a higher revision replaces a lower one.
 type Limit struct {
-	// Rate is 0 if the upstream has set no limit.
+	// Rate is 0 if the upstream has set no rate limit.
 	Rate RequestsPerSecond
+	// Brittle is set if the upstream falls over once it has to reject too many requests for
+	// want of room.
+	Brittle bool
 	// Revision counts the changes since the process of the upstream started.
 	Revision int64
 }
@@ -20,17 +23,31 @@
 	if l.Revision != old.Revision {
 		return l.Revision > old.Revision
 	}
+	if l.Brittle != old.Brittle {
+		return l.Brittle
+	}
 	return l.Rate > 0 && (old.Rate == 0 || l.Rate < old.Rate)
 }
 
+// NeedsPermit reports whether requests need a permit of the upstream's owner.
+func (l Limit) NeedsPermit() bool { return l.Rate > 0 || l.Brittle }
+
 // update returns the limit after a response to a request that was placed at a known
 // revision. A response to a request that was placed before the present revision was
 // known may be older than that revision, and changes nothing.
 func (l Limit) update(placedAt int64, n Notice) Limit {
-	if !n.StatesLimit || n.Limit == l.Rate || placedAt != l.Revision {
+	next := l
+	if n.StatesLimit {
+		next.Rate = n.Limit
+	}
+	if n.StatesBrittle {
+		next.Brittle = n.Brittle
+	}
+	if next == l || placedAt != l.Revision {
 		return l
 	}
-	return Limit{Rate: n.Limit, Revision: l.Revision + 1}
+	next.Revision++
+	return next
 }
 
 // UpstreamLimit is a limit as instances exchange it.
@@ -53,7 +70,7 @@
 	var out []UpstreamLimit
 	for _, e := range p.entries {
 		l := e.reported.limit
-		if e.active(now) && (l.Rate > 0 || l.Revision > 0 && now-e.limitChangedAt < endedLimitRetention) {
+		if e.active(now) && (l.NeedsPermit() || l.Revision > 0 && now-e.limitChangedAt < endedLimitRetention) {
 			out = append(out, UpstreamLimit{Upstream: e.tag, StartedAt: e.StartedAt, Limit: l})
 		}
 	}
@@ -77,6 +94,9 @@
 	if l == e.reported.limit {
 		return
 	}
+	if !l.Brittle {
+		e.room = room{}
+	}
 	e.reported.limit, e.LimitRevision, e.limitChangedAt = l, l.Revision, now
 	e.permitsAt = 0
 }
@@ -118,14 +138,28 @@
 //
 // Load pattern: many instances send to an upstream that takes a few requests a second
 // from all of them. Instances without a permit are told times one permit apart, so that
-// they do not all ask again at once.
-func (p *Pool) TakePermit(id ID, now time.Duration) PermitAnswer {
+// they do not all ask again at once. A brittle upstream must have room for the request, too.
+func (p *Pool) TakePermit(id ID, n Need, now time.Duration) PermitAnswer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e, ok := p.entries[id]
 	if !ok {
 		return PermitAnswer{Wait: maxPermitWait}
 	}
+	if e.reported.limit.Brittle && n.Work {
+		if a := e.takeRoom(n, now); !a.Granted {
+			return a
+		}
+	}
+	a := e.takeRate(now)
+	if l := e.room.open[n.From]; !a.Granted && n.Work && len(l) > 0 {
+		e.room.open[n.From] = l[:len(l)-1]
+	}
+	return a
+}
+
+// takeRate grants one request by the rate limit.
+func (e *entry) takeRate(now time.Duration) PermitAnswer {
 	rate := e.reported.limit.Rate
 	if rate == 0 {
 		return PermitAnswer{Granted: true}
@@ -149,7 +183,7 @@
 func (p *Pool) ReturnPermit(id ID) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if e, ok := p.entries[id]; ok {
+	if e, ok := p.entries[id]; ok && e.reported.limit.Rate > 0 {
 		e.permits.add(1, e.reported.limit.Rate)
 	}
 }
--- a/state/pool/limit_fleet_test.go
+++ b/state/pool/limit_fleet_test.go
@@ -13,10 +13,16 @@
 
 const (
 	limitedID = pool.ID("s0")
+	// upstreamSlots is the number of requests that the upstream states to run at a time.
+	upstreamSlots = 16
 	// takeover is how long an owner must be unavailable before another one takes its place.
 	takeover = 8 * time.Second
 	// callTimeout is the time after which a permit that was not granted is asked for again.
 	callTimeout = 250 * time.Millisecond
+	// requestTimeout is the longest, workTime the mean time that a request runs at an upstream with bounded
+	// room.
+	requestTimeout = 3 * time.Second
+	workTime       = 100 * time.Millisecond
 )
 
 // limitNode is a simulated instance.
@@ -37,19 +43,17 @@
 	// owner is the owner according to the store.
 	owner    int
 	arrivals int
+	// room is the room of the upstream, or nil if it has any. downUntil is the end of the time for which it
+	// is down, served the number of requests that it ran, rejected and falls what it had to.
+	room                    *standin.Room
+	downUntil               time.Duration
+	served, rejected, falls int
 }
 
 func newLimitFleet(size int, seed uint64, loss float64) *limitFleet {
 	f := &limitFleet{Simulation: simulation.New(size, seed, loss), startedAt: 1}
 	f.limits = standin.NewRateLimits(func() time.Duration { return f.Now })
-	f.limits.Excused = func(instance string, at time.Duration) bool {
-		for _, n := range f.nodes {
-			if n.Name == instance {
-				return n.Excused(at)
-			}
-		}
-		return false
-	}
+	f.limits.Excused = f.excused
 	for i := range size {
 		n := &limitNode{Node: simulation.Node{Name: fmt.Sprint("n", i)}}
 		f.start(n)
@@ -58,6 +62,15 @@
 	return f
 }
 
+func (f *limitFleet) excused(instance string, at time.Duration) bool {
+	for _, n := range f.nodes {
+		if n.Name == instance {
+			return n.Excused(at)
+		}
+	}
+	return false
+}
+
 // start gives an instance the state of a new process.
 func (f *limitFleet) start(n *limitNode) {
 	n.pool, n.owner = pool.New(), f.owner
@@ -65,7 +78,7 @@
 }
 
 func (f *limitFleet) row() pool.Upstream {
-	return pool.Upstream{ID: limitedID, Service: "orders", Address: "127.0.0.1:1", Slots: 64, StartedAt: f.startedAt}
+	return pool.Upstream{ID: limitedID, Service: "orders", Address: "127.0.0.1:1", Slots: upstreamSlots, StartedAt: f.startedAt}
 }
 
 // request sends a request of an instance to the upstream, as admission does.
@@ -85,7 +98,7 @@
 func (f *limitFleet) askForPermit(n *limitNode, u pool.Upstream) {
 	owner := f.nodes[n.owner]
 	if owner == n {
-		f.finishPermit(n, u, n.pool.TakePermit(limitedID, f.Now))
+		f.finishPermit(n, u, n.pool.TakePermit(limitedID, f.need(n), f.Now))
 		return
 	}
 	answered, run := false, n.Run
@@ -96,7 +109,7 @@
 			return
 		}
 		owner.pool.MergeLimit(known, f.Now)
-		a := owner.pool.TakePermit(limitedID, f.Now)
+		a := owner.pool.TakePermit(limitedID, f.need(n), f.Now)
 		l := pool.UpstreamLimit{Upstream: limitedID.Tag(), StartedAt: v.StartedAt, Limit: owner.pool.Limit(limitedID)}
 		f.Message(&owner.Node, &n.Node, func() {
 			if answered || n.Run != run {
@@ -115,6 +128,10 @@
 	})
 }
 
+func (f *limitFleet) need(n *limitNode) pool.Need {
+	return pool.Need{From: n.Name, Work: true, Lifetime: requestTimeout, Peers: len(f.nodes)}
+}
+
 func (f *limitFleet) finishPermit(n *limitNode, u pool.Upstream, a pool.PermitAnswer) {
 	if !a.Granted {
 		n.pool.DeferPermit(limitedID, f.Now+a.Wait)
@@ -122,6 +139,55 @@
 	}
 	if n.pool.Admits(u, f.Now).Available() {
 		f.send(n, u)
+	} else {
+		f.endRoom(n, false)
+	}
+}
+
+// endRoom tells the owner that a request has ended.
+func (f *limitFleet) endRoom(n *limitNode, rejected bool) {
+	owner := f.nodes[n.owner]
+	if owner == n {
+		n.pool.FinishRoom(limitedID, n.Name, rejected, f.Now)
+		return
+	}
+	f.Message(&n.Node, &owner.Node, func() { owner.pool.FinishRoom(limitedID, n.Name, rejected, f.Now) })
+}
+
+// enter has a request run at the upstream, if there is room. It returns when the response comes, and false if
+// none does.
+func (f *limitFleet) enter(n *limitNode) (response time.Duration, rejected, ok bool) {
+	if f.room == nil {
+		return f.Between(5, 300), false, true
+	}
+	if f.Now < f.downUntil {
+		return 0, false, false
+	}
+	in, fell := f.room.Enter(n.Name)
+	if fell {
+		f.falls++
+		f.downUntil = f.Now + 2*time.Second
+		f.replaceUpstream()
+	}
+	if !in {
+		f.rejected++
+		return f.Between(1, 6), true, true
+	}
+	d, startedAt := time.Duration(f.Random.ExpFloat64()*float64(workTime)), f.startedAt
+	f.After(d, func() {
+		if f.startedAt == startedAt {
+			f.served++
+			f.room.Leave()
+		}
+	})
+	return d, false, true
+}
+
+// replaceUpstream has the upstream start again; instances learn of it one after the other.
+func (f *limitFleet) replaceUpstream() {
+	f.startedAt++
+	for _, n := range f.nodes {
+		f.At(&n.Node, f.Between(1, 1500), func() { n.pool.Put(f.row()) })
 	}
 }
 
@@ -139,8 +205,17 @@
 			rate, _ := strconv.ParseFloat(h, 64)
 			m.Limit = pool.RequestsPerSecond(rate)
 		}
+		if f.room != nil {
+			m.StatesBrittle, m.Brittle = true, f.room.Header() != ""
+		}
 		startedAt := f.startedAt
-		f.At(&n.Node, f.Between(5, 300), func() {
+		response, rejected, ok := f.enter(n)
+		if !ok {
+			f.At(&n.Node, 0, func() { f.endRoom(n, false) })
+			return
+		}
+		f.At(&n.Node, response, func() {
+			f.endRoom(n, rejected)
 			before := n.pool.Limit(limitedID)
 			if u.StartedAt != startedAt || !n.pool.ApplyNotice(u, m, f.Now) || n.pool.Limit(limitedID) == before {
 				return
@@ -223,10 +298,7 @@
 		return
 	}
 	f.limits.Set(0)
-	f.startedAt++
-	for _, n := range f.nodes {
-		f.At(&n.Node, f.Between(1, 1500), func() { n.pool.Put(f.row()) })
-	}
+	f.replaceUpstream()
 }
 
 // begin starts the heartbeats, and rate requests a second of the fleet.
@@ -282,3 +354,50 @@
 		}
 	}
 }
+
+// brittlePeriod is how long the upstream is brittle.
+const brittlePeriod = 20 * time.Second
+
+// TestBrittleUpstreamIsKeptStanding has a fleet send twice what a brittle upstream can run, while instances
+// are restarted, frozen and cut off and datagrams are lost. It falls over no more often than the users allow.
+func TestBrittleUpstreamIsKeptStanding(t *testing.T) {
+	for size, seeds := range map[int]uint64{13: 40, 195: 8} {
+		for seed := range seeds {
+			f := newLimitFleet(size, seed, 0.05)
+			f.room = standin.NewRoom(upstreamSlots, 4, func() time.Duration { return f.Now })
+			f.room.Excused = f.excused
+			f.After(0, f.fault)
+			f.begin(2 * upstreamSlots / workTime.Seconds())
+			f.RunUntil(3 * time.Second)
+			for range 3 {
+				f.room.SetBrittle(3)
+				f.RunUntil(f.Now + brittlePeriod)
+				if n := f.room.Falls(); n > 2 {
+					t.Errorf("%d instances, seed %d: the upstream fell over %d times", size, seed, n)
+				}
+				f.room.EndBrittle()
+				f.RunUntil(f.Now + f.Between(100, 4000))
+			}
+		}
+	}
+}
+
+// TestBrittleUpstreamIsUsed has a calm fleet send twice what a brittle upstream can run. Its room must not be
+// wasted, and nothing is rejected.
+func TestBrittleUpstreamIsUsed(t *testing.T) {
+	for _, size := range []int{13, 195} {
+		f := newLimitFleet(size, 1, 0)
+		f.room = standin.NewRoom(upstreamSlots, 4, func() time.Duration { return f.Now })
+		f.begin(2 * upstreamSlots / workTime.Seconds())
+		f.RunUntil(time.Second)
+		f.room.SetBrittle(3)
+		f.RunUntil(f.Now + standin.BrittleContact)
+		f.served, f.rejected = 0, 0
+		f.RunUntil(f.Now + brittlePeriod)
+		most := upstreamSlots * brittlePeriod.Seconds() / workTime.Seconds()
+		t.Logf("%d instances: %d of %v requests served, %d rejected", size, f.served, most, f.rejected)
+		if float64(f.served) < most/2 || f.rejected > 0 {
+			t.Errorf("%d instances: %d requests served, the upstream can run %v; %d rejected", size, f.served, most, f.rejected)
+		}
+	}
+}
--- a/state/pool/limit_test.go
+++ b/state/pool/limit_test.go
@@ -89,19 +89,19 @@
 func TestInstancesWithoutPermitAreToldDifferentTimes(t *testing.T) {
 	p, u := newLimitedPool(t, 2)
 	for i := range 10 {
-		a := p.TakePermit(u.ID, time.Second)
+		a := p.TakePermit(u.ID, pool.Need{}, time.Second)
 		if want := min(4*time.Second, time.Duration(i+1)*500*time.Millisecond); a.Granted || a.Wait != want {
 			t.Errorf("instance %d: granted %v, wait %v; want none and %v", i, a.Granted, a.Wait, want)
 		}
 	}
-	if a := p.TakePermit(u.ID, 1500*time.Millisecond); !a.Granted {
+	if a := p.TakePermit(u.ID, pool.Need{}, 1500*time.Millisecond); !a.Granted {
 		t.Error("no permit at the first time that was told")
 	}
-	if a := p.TakePermit(u.ID, 1500*time.Millisecond); a.Granted {
+	if a := p.TakePermit(u.ID, pool.Need{}, 1500*time.Millisecond); a.Granted {
 		t.Error("a second permit at that time")
 	}
 	p.ReturnPermit(u.ID)
-	if a := p.TakePermit(u.ID, 1500*time.Millisecond); !a.Granted {
+	if a := p.TakePermit(u.ID, pool.Need{}, 1500*time.Millisecond); !a.Granted {
 		t.Error("the permit that was given back is not granted again")
 	}
 }
@@ -109,10 +109,10 @@
 // After a pause without requests, an upstream gets a short burst only.
 func TestUnusedPermitsAreNotKept(t *testing.T) {
 	p, u := newLimitedPool(t, 2)
-	p.TakePermit(u.ID, time.Second)
+	p.TakePermit(u.ID, pool.Need{}, time.Second)
 	granted := 0
 	for range 10 {
-		if p.TakePermit(u.ID, time.Minute).Granted {
+		if p.TakePermit(u.ID, pool.Need{}, time.Minute).Granted {
 			granted++
 		}
 	}
--- a/state/pool/pool.go
+++ b/state/pool/pool.go
@@ -99,11 +99,12 @@
 	health      health
 	reported    reportedState
 	// limitChangedAt is the instant at which the limit in reported last changed here,
-	// permitsAt the one before which this instance gets no permit, permits what it grants
-	// as the owner of the upstream.
+	// permitsAt the one before which this instance gets no permit, permits and room what it
+	// grants as the owner of the upstream.
 	limitChangedAt time.Duration
 	permitsAt      time.Duration
 	permits        permits
+	room           room
 	// loadsDeferredUntil is the instant before which no load is requested from the
 	// engine.
 	loadsDeferredUntil time.Duration
