dispatch, pool: a second of silence of an upstream is no failure

What callers would see: an engine that is silent for a second has its streams cancelled after 1.1 s and begun elsewhere, and is out of use for up to 2 s; a request that was given up later than 0.3 of the caller's time found no second upstream. TestSecondOfSilenceIsNoFailure and TestStreamOutlastsASecondOfSilence failed before.

Cause: the time without a first part, and a connection that does not open in 0.4 s, counted as unreachable at once. Change: an upstream fails by silence once it has said nothing for 1.5 s while responses were due; plain requests may go elsewhere before, and others are preferred meanwhile; a stream waits that long. TCP_USER_TIMEOUT and keep-alive both give up after 2.5 s, a probe of the paths alone proves nothing, and only a refused connection is the end of a process.

--- a/protocol/dispatch/attempt.go
+++ b/protocol/dispatch/attempt.go
@@ -14,6 +14,7 @@
 	"gentiangauge.example/gentiangauge/coordination/admission"
 	"gentiangauge.example/gentiangauge/refusal"
 	"gentiangauge.example/gentiangauge/state/pool"
+	"gentiangauge.example/gentiangauge/state/route"
 	"gentiangauge.example/gentiangauge/transport/relay"
 )
 
@@ -176,11 +177,13 @@
 	if j.workspace != nil {
 		q.Workspace = j.workspace.Name
 	}
+	d.Pool.RecordSend(id, sent)
 	a, err := d.Send(x, q)
 	if err != nil {
-		return d.handleSendError(c, j, err)
+		return d.handleSendError(c, j, err, stopTimer())
 	}
 	defer a.Body.Close()
+	d.Pool.RecordResponse(id)
 	d.Admission.ApplyNotice(j.choice.Upstream, a.Notice, j.ID)
 	if err := d.checkResponse(j, a); err != nil {
 		return err
@@ -254,8 +257,13 @@
 func (d *Dispatcher) firstPartLimits(j *job) []firstPartLimit {
 	var out []firstPartLimit
 	now := d.Timer.Boot()
-	silent := j.route.Objective*silentFactor + 2*j.choice.FirstEvent
-	if j.route.Repeatable() && !j.started && j.runs+1 < j.route.MaxAttempts && j.deadline-now >= 2*silent {
+	another := j.route.Objective*silentFactor + 2*j.choice.FirstEvent
+	silent := another
+	if j.route.Kind == route.Stream {
+		// Beginning a stream elsewhere costs another engine the prompt.
+		silent = max(silent, pool.MaxSilence+j.choice.FirstEvent)
+	}
+	if j.route.Repeatable() && !j.started && j.runs+1 < j.route.MaxAttempts && j.deadline-now >= silent+another {
 		out = append(out, firstPartLimit{after: silent, needsBudget: true})
 	}
 	if j.oldUntil == 0 {
@@ -309,8 +317,9 @@
 	})
 }
 
-// handleSendError handles a send that failed without a response.
-func (d *Dispatcher) handleSendError(c context.Context, j *job, err error) error {
+// handleSendError handles a send that failed without a response. The parameter broken is false if it was
+// cancelled because the upstream had said nothing.
+func (d *Dispatcher) handleSendError(c context.Context, j *job, err error, broken bool) error {
 	now := d.Timer.Boot()
 	if c.Err() != nil {
 		j.runs++
@@ -319,7 +328,11 @@
 	outdated := j.outdated.Load()
 	if !outdated {
 		j.avoid[j.choice.ID] = true
-		d.Pool.RecordOutcome(j.choice.ID, pool.Unreachable, now)
+		if broken && !errors.Is(err, relay.ErrSilent) {
+			d.Pool.RecordOutcome(j.choice.ID, pool.Unreachable, now)
+		} else {
+			d.Pool.RecordSilence(j.choice.ID, now)
+		}
 	}
 	d.Log.Info("sending to upstream failed", zap.String("request", j.ID), zap.String("upstream", string(j.choice.ID)), zap.Error(err))
 	if errors.Is(err, relay.ErrNotSent) {
--- a/protocol/dispatch/backoff.go
+++ b/protocol/dispatch/backoff.go
@@ -43,13 +43,17 @@
 
 // placementDeadline returns the instant at which a request without an upstream is
 // refused, early enough for the caller to retry. A caller that has already received
-// events waits as long for the next event as for the first.
+// events waits as long for the next event as for the first. A request that was given up at a silent
+// upstream gets as much time for another one.
 //
 // Load pattern: all adapter slots stay in use for seconds.
 func (j *job) placementDeadline(now time.Duration) time.Duration {
 	t := time.Duration(float64(j.firstDeadline-j.Arrived) * placementShare)
-	if j.started {
+	switch {
+	case j.started:
 		return min(j.deadline, now+t)
+	case j.runs > 0:
+		return min(j.firstDeadline, now+t)
 	}
 	return j.Arrived + t
 }
--- a/protocol/dispatch/silence_test.go
+++ b/protocol/dispatch/silence_test.go
@@ -43,16 +43,24 @@
 // upstream is not taken to have failed.
 func TestSecondOfSilenceIsNoFailure(t *testing.T) {
 	b := newHarness(2)
-	b.respondAfter(time.Now().Add(silence), func() *dispatch.Response { return response(http.StatusOK, "ok") })
-	w, err := b.serve("/look/x")
-	if err != nil || w.Code != http.StatusOK {
-		t.Errorf("status %d, %v", w.Code, err)
-	}
-	for i := range 2 {
-		q := pool.Request{Service: "orders", Exclude: map[pool.ID]bool{b.sends[i%len(b.sends)].Upstream.ID: true}}
-		if _, ok := b.pool.Choose(q, b.timer.Boot()); !ok {
-			t.Errorf("no upstream besides %v is in use after the silence", q.Exclude)
+	var silent pool.ID
+	b.respond = func(n int, s dispatch.UpstreamRequest) (*dispatch.Response, error) {
+		if n == 1 {
+			silent = s.Upstream.ID
+			<-b.context.Done()
+			return nil, relay.ErrConnectionBroken
 		}
+		return response(http.StatusOK, "ok"), nil
+	}
+	if w, err := b.serve("/look/x"); err != nil || w.Code != http.StatusOK || len(b.sends) != 2 {
+		t.Fatalf("status %d, %v after %d sends", w.Code, err, len(b.sends))
+	}
+	q := pool.Request{Service: "orders", Exclude: map[pool.ID]bool{b.sends[1].Upstream.ID: true}}
+	if h, ok := b.pool.Choose(q, b.timer.Boot()); !ok || h.ID != silent {
+		t.Errorf("%s is out of use", silent)
+	}
+	if h, _ := b.pool.Choose(pool.Request{Service: "orders"}, b.timer.Boot()+silence); h.ID == silent {
+		t.Errorf("%s is preferred though it is silent", silent)
 	}
 }
 
--- a/state/pool/choose.go
+++ b/state/pool/choose.go
@@ -163,6 +163,9 @@
 	if e.Zone != r.Zone {
 		cost += zonePenalty
 	}
+	if r.Engine == nil && e.health.silent(now) {
+		cost += silencePenalty
+	}
 	if r.Engine == nil {
 		c.FirstEvent = plainRequestTime * time.Duration(1+c.Usage.Running) / time.Duration(max(e.Slots, 1))
 		if c.Usage.Running >= e.Slots {
--- a/state/pool/health.go
+++ b/state/pool/health.go
@@ -13,6 +13,8 @@
 	backoffUntil time.Duration
 	// endedUntil is the instant until which the process counts as ended, or 0.
 	endedUntil time.Duration
+	// awaitedSince is the first instant since a response last arrived at which one was due, or 0.
+	awaitedSince time.Duration
 	// connectFailures counts consecutive failures to connect.
 	connectFailures int
 }
@@ -30,6 +32,51 @@
 	endedTime = 2 * time.Second
 )
 
+const (
+	// MaxSilence is how long a sound upstream may say nothing: the users state a second or so.
+	MaxSilence = 1500 * time.Millisecond
+	// silenceNoticed is the silence from which on other upstreams are preferred, by silencePenalty.
+	silenceNoticed = 300 * time.Millisecond
+	silencePenalty = 500 * time.Millisecond
+)
+
+// RecordSend records that a response of an upstream is due.
+func (p *Pool) RecordSend(id ID, now time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if e, ok := p.entries[id]; ok && e.health.awaitedSince == 0 {
+		e.health.awaitedSince = now
+	}
+}
+
+// RecordResponse records that a response of an upstream has begun.
+func (p *Pool) RecordResponse(id ID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if e, ok := p.entries[id]; ok {
+		e.health.awaitedSince = 0
+	}
+}
+
+// RecordSilence records that a request was given up because an upstream said nothing. That is a failure only
+// once the upstream has been silent for longer than sound ones are.
+//
+// Load pattern: a sound upstream is silent for a second or so while requests wait for it.
+func (p *Pool) RecordSilence(id ID, now time.Duration) {
+	p.mu.Lock()
+	e, ok := p.entries[id]
+	failed := ok && e.health.awaitedSince != 0 && now-e.health.awaitedSince >= MaxSilence
+	p.mu.Unlock()
+	if failed {
+		p.RecordOutcome(id, Unreachable, now)
+	}
+}
+
+// silent reports whether the upstream has said nothing for long enough for others to be preferred.
+func (h *health) silent(now time.Duration) bool {
+	return h.awaitedSince != 0 && now-h.awaitedSince >= silenceNoticed
+}
+
 // Outcome is the result of a request sent to an upstream.
 type Outcome int
 
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -22,6 +22,8 @@
 var (
 	// ErrNotSent means that no byte of the request can have reached the upstream.
 	ErrNotSent = eris.New("request not sent")
+	// ErrSilent means, with ErrNotSent, that the upstream did not answer an attempt to connect in time.
+	ErrSilent = eris.New("upstream did not answer in time")
 	// ErrConnectionBroken means that the connection failed after bytes of the request
 	// may have reached the upstream.
 	ErrConnectionBroken = eris.New("connection failed after the request was sent")
@@ -176,10 +178,20 @@
 	case connected.Load():
 		return nil, eris.Wrap(ErrConnectionBroken, err.Error())
 	default:
-		return nil, eris.Wrap(ErrNotSent, err.Error())
+		return nil, notSent(err)
 	}
 }
 
+// notSent returns ErrNotSent, with ErrSilent if a connection could not be opened in time.
+func notSent(err error) error {
+	var n net.Error
+	x := eris.Wrap(ErrNotSent, err.Error())
+	if errors.As(err, &n) && n.Timeout() {
+		return errors.Join(x, ErrSilent)
+	}
+	return x
+}
+
 // SendOnce sends a request that must not run twice. It opens a new connection, because
 // net/http retries some requests by itself when a reused connection fails. The caller
 // closes the body of the response.
@@ -204,7 +216,7 @@
 	case wrote.Load():
 		return nil, eris.Wrap(ErrConnectionBroken, err.Error())
 	default:
-		return nil, eris.Wrap(ErrNotSent, err.Error())
+		return nil, notSent(err)
 	}
 }
 
