reach: a direct path is cut only if it still fails once another instance has connected

A second of silence of several upstreams at once could have an instance take itself to be cut off and suspend its orders: direct connections time out, and those through another instance open as the silence ends. TestSecondOfSilenceIsNoCut would not hold before.

--- a/coordination/paths/paths.go
+++ b/coordination/paths/paths.go
@@ -166,7 +166,9 @@
 		n, x := f.Dial(c, address)
 		if x == nil {
 			p.record(address, func(now time.Duration) {
-				p.reach.RecordIndirect(address, now)
+				if p.reach.RecordIndirect(address, now) {
+					go p.verify(address)
+				}
 				for _, name := range failed {
 					p.cutOff[name] = now + cutOffTime
 				}
@@ -204,6 +206,17 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
+// verify tries a direct connection once more, and records its outcome.
+func (p *Paths) verify(address string) {
+	c, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	n, err := p.Dial(c, "tcp", address)
+	if err == nil {
+		_ = n.Close()
+	}
+	p.RecordDirect(address, err)
+}
+
 func (p *Paths) step(c context.Context) {
 	now, addresses := p.Timer.Boot(), p.Addresses()
 	if h := p.heard.Load(); h != p.lastHeard || p.waiting.Load() == 0 {
--- a/state/reach/reach.go
+++ b/state/reach/reach.go
@@ -10,7 +10,7 @@
 
 const (
 	// evidenceTime is how long after a failure to connect directly a connection through another instance
-	// shows that the upstream lives, and the direct path is cut.
+	// shows that the upstream lives, and after that a further failure that the direct path is cut.
 	evidenceTime = 2 * time.Second
 	// minCut is the number of upstreams that must be cut off, without a direct connection to any other
 	// since, before all are taken to be.
@@ -26,7 +26,9 @@
 // target is what is known of the direct path to an upstream.
 type target struct {
 	connectedAt, failedAt, cutAt, probedAt time.Duration
-	cut                                    bool
+	// suspectedAt is when another instance could connect after this one had failed to, or 0.
+	suspectedAt time.Duration
+	cut         bool
 }
 
 // Reach is the state of the direct paths of an instance, by the address of the upstream. It is not safe
@@ -62,18 +64,26 @@
 	switch {
 	case t == nil:
 	case ok:
-		t.connectedAt, t.failedAt, t.cut, r.connectedAt = now, 0, false, now
+		t.connectedAt, t.failedAt, t.suspectedAt, t.cut, r.connectedAt = now, 0, 0, false, now
 	default:
 		t.failedAt = now
+		if !t.cut && t.suspectedAt != 0 && now-t.suspectedAt < evidenceTime {
+			t.cut, t.cutAt = true, now
+		}
 	}
 }
 
-// RecordIndirect records that a connection could be opened through another instance.
-func (r *Reach) RecordIndirect(address string, now time.Duration) {
+// RecordIndirect records that a connection could be opened through another instance. It returns true if a
+// direct one is to be tried again at once: if that fails, the direct path is cut, else the upstream was only
+// silent for a while.
+func (r *Reach) RecordIndirect(address string, now time.Duration) bool {
 	t := r.targets[address]
-	if t != nil && !t.cut && t.failedAt != 0 && now-t.failedAt < evidenceTime {
-		t.cut, t.cutAt = true, now
+	if t == nil || t.cut || t.failedAt == 0 || now-t.failedAt >= evidenceTime {
+		return false
 	}
+	verify := t.suspectedAt == 0 || now-t.suspectedAt >= evidenceTime
+	t.suspectedAt = now
+	return verify
 }
 
 // Indirect reports whether requests to an upstream go through another instance.
--- a/state/reach/reach_test.go
+++ b/state/reach/reach_test.go
@@ -51,13 +51,20 @@
 	x.pending[at] = append(x.pending[at], a)
 }
 
+// indirect opens a connection through another instance.
+func (x *instance) indirect(a string) {
+	if x.reach.RecordIndirect(a, x.now) {
+		x.connect(a)
+	}
+}
+
 func (x *instance) run(d time.Duration, random *rand.Rand) {
 	for end := x.now + d; x.now < end; x.now += tick {
 		a := x.targets[random.IntN(len(x.targets))]
 		x.sent++
 		if x.reach.Indirect(a) {
 			if !x.dead[a] {
-				x.reach.RecordIndirect(a, x.now)
+				x.indirect(a)
 			}
 		} else {
 			if x.cut[a] && !x.dead[a] && !x.refuses {
@@ -71,7 +78,7 @@
 		for _, f := range x.pending[x.now] {
 			x.reach.RecordDirect(f, false, x.now)
 			if !x.dead[f] {
-				x.reach.RecordIndirect(f, x.now)
+				x.indirect(f)
 			}
 		}
 		delete(x.pending, x.now)
@@ -138,3 +145,22 @@
 		}
 	}
 }
+
+// All upstreams are silent for a second, so that direct connections do not open in time, and go on just as
+// others are tried through another instance. The instance is not cut off.
+func TestSecondOfSilenceIsNoCut(t *testing.T) {
+	r := reach.New()
+	r.SetTargets([]string{"a", "b", "c", "d"})
+	now := time.Hour
+	for _, a := range []string{"a", "b", "c", "d"} {
+		r.RecordDirect(a, true, now)
+		r.RecordDirect(a, false, now+time.Second)
+		if !r.RecordIndirect(a, now+1100*time.Millisecond) || r.Indirect(a) || r.Stranded() {
+			t.Errorf("%s is taken to be cut off", a)
+		}
+		r.RecordDirect(a, true, now+1200*time.Millisecond)
+	}
+	if r.Stranded() {
+		t.Error("the instance takes itself to be cut off")
+	}
+}
