platform, relay: a refusal that is written once more is not believed

What callers would see: 'not run, try again' for requests that an upstream runs or has run.

Cause: that an upstream has not run a request was read before the id of the response was compared; a request that is sent to an upstream again went over the kept connection of its first refusal, whose copy has the same id; and net/http sends some requests again on another connection, of which the refusal of the second says nothing of the first.

--- a/protocol/dispatch/attempt.go
+++ b/protocol/dispatch/attempt.go
@@ -172,8 +172,9 @@
 	d.recordBegin(j, false)
 	q := UpstreamRequest{
 		Request: j.Request, Upstream: j.choice.Upstream, Version: j.choice.Version, Remaining: j.deadline - sent,
-		Urgency: d.urgency(j), ResumeAfter: j.lastEvent, AtMostOnce: !j.route.Repeatable() || j.permitted && d.Pool.Limit(j.choice.ID).Rate > 0,
+		Urgency: d.urgency(j), ResumeAfter: j.lastEvent, AtMostOnce: !j.route.Repeatable() || j.sentTo[id] || j.permitted && d.Pool.Limit(id).Rate > 0,
 	}
+	j.sentTo[id] = true
 	if j.workspace != nil {
 		q.Workspace = j.workspace.Name
 	}
@@ -350,6 +351,9 @@
 // checkResponse returns an error if a response must not be forwarded to the caller.
 func (d *Dispatcher) checkResponse(j *job, a *Response) error {
 	id, now := j.choice.ID, d.Timer.Boot()
+	if a.NotRun && a.Resent {
+		j.runs++
+	}
 	switch {
 	case a.NotRun:
 		d.Log.Info("not run", zap.String("request", j.ID), zap.String("upstream", string(id)), zap.Int("status", a.Status),
--- a/protocol/dispatch/dispatch.go
+++ b/protocol/dispatch/dispatch.go
@@ -73,7 +73,8 @@
 	// ResumeAfter is the id of the last event that was forwarded to the caller.
 	ResumeAfter string
 	// AtMostOnce is set for requests that must not reach the upstream twice: those that
-	// must not run twice, and those for which a permit was taken.
+	// must not run twice, those for which a permit was taken, and those that have been sent
+	// to the upstream before, whose earlier response must not come again.
 	AtMostOnce bool
 }
 
@@ -92,6 +93,9 @@
 	// does not hold the requested adapter version.
 	NotRun      bool
 	Misdirected bool
+	// Resent is set when the request may have reached the upstream on an earlier connection, too. NotRun
+	// says nothing of that.
+	Resent bool
 	// Notice is what the response headers say about the upstream itself.
 	Notice pool.Notice
 }
@@ -204,6 +208,8 @@
 	units                   float64
 	// avoid holds the upstreams that failed or rejected the request.
 	avoid map[pool.ID]bool
+	// sentTo holds the upstreams to which the request was sent.
+	sentTo map[pool.ID]bool
 	// sends counts all sends, runs those after which an upstream may have run the
 	// request.
 	sends, runs int
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -168,20 +168,49 @@
 	if err != nil {
 		return nil, eris.Wrap(ErrNotSent, err.Error())
 	}
-	// The connection is known to carry nothing of the request as long as none was obtained.
-	var connected atomic.Bool
-	h = h.WithContext(httptrace.WithClientTrace(c, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}))
+	// As long as no connection was obtained, nothing of the request has been sent.
+	var conn atomic.Pointer[net.Conn]
+	var conns atomic.Int64
+	h = h.WithContext(httptrace.WithClientTrace(c, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		conn.Store(&i.Conn)
+		conns.Add(1)
+	}}))
 	a, err := k.Do(h)
 	switch {
 	case err == nil:
+		a.Body = connBody{ReadCloser: a.Body, conn: *conn.Load(), resent: conns.Load() > 1}
 		return a, nil
-	case connected.Load():
+	case conn.Load() != nil:
 		return nil, eris.Wrap(ErrConnectionBroken, err.Error())
 	default:
 		return nil, notSent(err)
 	}
 }
 
+// connBody is a response body that knows its connection. The flag resent is set if the request was sent on an
+// earlier one, too.
+type connBody struct {
+	io.ReadCloser
+	conn   net.Conn
+	resent bool
+}
+
+// Resent reports whether the request of a response may have reached the upstream before: net/http sends some
+// requests again if a kept connection fails.
+func Resent(r *http.Response) bool {
+	b, ok := r.Body.(connBody)
+	return ok && b.resent
+}
+
+// Discard closes the connection of a response that does not belong to its request, so that no other request
+// gets what comes after it.
+func Discard(r *http.Response) {
+	if b, ok := r.Body.(connBody); ok {
+		// The connection is of no more use, whatever the outcome.
+		_ = b.conn.Close()
+	}
+}
+
 // notSent returns ErrNotSent, with ErrSilent if a connection could not be opened in time.
 func notSent(err error) error {
 	var n net.Error
