gossip, entry: an odd verdict row does not end the heartbeats

What callers would see: another writer leaves one row with a text of 60 KB where verdicts are; every heartbeat is larger than a datagram from then on and none is sent, so that no instance hears another and no engine has an owner.

Cause: the row was decoded and announced as it is. Change: an upstream's name and the parts of a verdict are bounded, and a heartbeat that is too large goes without its suspicions.

--- a/coordination/gossip/gossip.go
+++ b/coordination/gossip/gossip.go
@@ -180,6 +180,11 @@
 		b.Placements[i].HasWarm = sendWarm
 	}
 	data, err := encode(b)
+	if err == nil && len(data) > maxDatagram && len(b.Suspicions) > 0 {
+		g.log.Error("heartbeat is larger than a datagram; sent without suspicions", zap.Int("bytes", len(data)), zap.Int("suspicions", len(b.Suspicions)))
+		b.Suspicions = nil
+		data, err = encode(b)
+	}
 	if err != nil || len(data) > maxDatagram {
 		g.log.Error("heartbeat not sent: encoding failed or larger than a datagram", zap.Int("bytes", len(data)), zap.Error(err))
 		return
--- a/entry/suspects.go
+++ b/entry/suspects.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"gentiangauge.example/gentiangauge/coordination/gossip"
@@ -125,7 +126,16 @@
 	return fmt.Sprint(verdictPrefix, v.Upstream, ".", v.StartedAt, ".", v.Lead)
 }
 
+// A verdict names an upstream, whose ID is the key of a row, and the parts of one request.
+const (
+	maxUpstreamBytes = 200
+	maxVerdictParts  = 128
+)
+
 func (m verdictRow) verdict() (suspicion.Verdict, error) {
+	if len(m.Upstream) > maxUpstreamBytes || len(m.Parts) > maxVerdictParts {
+		return suspicion.Verdict{}, eris.Errorf("an upstream of %d bytes and %d parts", len(m.Upstream), len(m.Parts))
+	}
 	v := suspicion.Verdict{VerdictID: suspicion.VerdictID{Crash: suspicion.Crash{Upstream: m.Upstream, StartedAt: m.StartedAt}}}
 	for i, x := range append([]string{m.Lead}, m.Parts...) {
 		n, err := strconv.ParseUint(x, 16, 64)
