platform, entry: a row of an upstream that turns odd names it no more

What callers would see: requests go to an upstream by its former row, however long the odd one stands. TestUpstreamWhoseRowTurnsOddIsNotUsed failed before.

--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -126,6 +126,9 @@
 		if err == nil {
 			peer, err = netip.ParseAddrPort(m.Peer)
 		}
+		if err == nil {
+			_, err = netip.ParseAddrPort(m.Front)
+		}
 		if err != nil {
 			e.log.Error("cannot decode member row", zap.String("key", r.Key), zap.Error(err))
 			continue
--- a/entry/rows.go
+++ b/entry/rows.go
@@ -130,7 +130,12 @@
 		}
 		u, err := e.DecodeUpstream(r.Key, r.Value)
 		if err != nil {
-			e.log.Warn("cannot decode upstream row", zap.String("row", r.Key), zap.Error(err))
+			// The row names no upstream. Its former value is not in force any more.
+			e.log.Warn("cannot decode upstream row", zap.String("row", r.Key), zap.Int("bytes", len(r.Value)), zap.Error(err))
+			record(r, listing{})
+			if _, known := e.pool.Get(id, now); known {
+				e.removeUpstream(id, now, settlesIn)
+			}
 			continue
 		}
 		u.RowVersion = r.Version
