--- a/entry/paths.go
+++ b/entry/paths.go
@@ -193,6 +193,9 @@
 
 // AwaitForwarded waits until no connection is forwarded any more, or c ends.
 func (e *Entry) AwaitForwarded(c context.Context) {
-	for e.forwarded.Load() > 0 && e.timer.Wait(c, drainPoll) == nil {
+	for e.forwarded.Load() > 0 {
+		if e.timer.Wait(c, drainPoll) != nil {
+			return
+		}
 	}
 }
