streams, entry: records are read less often in large fleets, and fewer connections are forwarded

Callers may name any stream as the one to take up, and each such request could have an instance read all records again after 50 ms. A forwarded connection may hold 256 KiB of a response for a slow origin.

--- a/coordination/streams/record.go
+++ b/coordination/streams/record.go
@@ -27,8 +27,9 @@
 	// maxRecords bounds the records of an instance, whose row has at most 64 KiB.
 	maxRecords = 2000
 	// readInterval is the age up to which records that were read are used for streams that are not
-	// among them.
+	// among them, readPerPeer the time for each other instance: callers may name any stream.
 	readInterval = 50 * time.Millisecond
+	readPerPeer  = time.Millisecond
 	// recordLifetime is the age of a row of records from which on any instance removes it.
 	recordLifetime = 2 * time.Minute
 )
@@ -99,7 +100,7 @@
 	if v, ok := k.versions[id]; ok {
 		return v, true
 	}
-	if now := r.Timer.Boot(); k.readAt == 0 || now-k.readAt >= readInterval {
+	if now := r.Timer.Boot(); k.readAt == 0 || now-k.readAt >= max(readInterval, readPerPeer*time.Duration(r.PeerCount())) {
 		r.readRecords(c)
 	}
 	v, ok := k.versions[id]
--- a/entry/paths.go
+++ b/entry/paths.go
@@ -20,9 +20,9 @@
 )
 
 const (
-	// maxForwarded bounds the connections that an instance forwards for others, each of which takes some
-	// 100 KB.
-	maxForwarded = 192
+	// maxForwarded bounds the connections that an instance forwards for others, each of which takes up to
+	// 300 KB.
+	maxForwarded = 128
 	// forwardTimeout is how long one instance may take to open a connection.
 	forwardTimeout = 450 * time.Millisecond
 	pingMethod     = "paths/ping"
