--- a/protocol/dispatch/attempt.go
+++ b/protocol/dispatch/attempt.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -14,7 +12,6 @@
 	"gentiangauge.example/gentiangauge/coordination/admission"
 	"gentiangauge.example/gentiangauge/refusal"
 	"gentiangauge.example/gentiangauge/state/pool"
-	"gentiangauge.example/gentiangauge/state/route"
 	"gentiangauge.example/gentiangauge/transport/relay"
 )
 
@@ -37,9 +34,6 @@
 	// have ended is expected to take misdirectRetry longer.
 	maxMisdirects  = 4
 	misdirectRetry = 60 * time.Millisecond
-	// silentFactor is the number of latency objectives after which an upstream that has
-	// sent no part of a response counts as silent.
-	silentFactor = 1
 )
 
 // sendWithRetries sends the request to one upstream after the other until one responds
@@ -243,81 +237,6 @@
 	return min(max(p, 0), 9)
 }
 
-// firstPartLimit is a time within which the first part of a response must arrive. If it has
-// passed, the send is cancelled: in any case, or if the retry budget allows another one.
-type firstPartLimit struct {
-	after       time.Duration
-	needsBudget bool
-}
-
-// firstPartLimits returns the limits for the present send, the first one first.
-//
-// Load patterns: an upstream accepts requests but does not respond, while another one could still
-// respond in time; a request waits in the queue of an engine with an older version of its
-// adapter, until that must not be used any more.
-func (d *Dispatcher) firstPartLimits(j *job) []firstPartLimit {
-	var out []firstPartLimit
-	now := d.Timer.Boot()
-	another := j.route.Objective*silentFactor + 2*j.choice.FirstEvent
-	silent := another
-	if j.route.Kind == route.Stream {
-		// Beginning a stream elsewhere costs another engine the prompt.
-		silent = max(silent, pool.MaxSilence+j.choice.FirstEvent)
-	}
-	if j.route.Repeatable() && !j.started && j.runs+1 < j.route.MaxAttempts && j.deadline-now >= silent+another {
-		out = append(out, firstPartLimit{after: silent, needsBudget: true})
-	}
-	if j.oldUntil == 0 {
-		return out
-	}
-	expires := max(0, j.oldUntil-now)
-	if expires <= silent {
-		out = nil
-	}
-	return append(out, firstPartLimit{after: expires})
-}
-
-// startFirstPartTimer cancels the present send if no part of the response arrives within its
-// limits. The returned function stops the timer; it returns false if the send was cancelled before.
-func (d *Dispatcher) startFirstPartTimer(c context.Context, j *job, cancel context.CancelFunc) func() bool {
-	limits := d.firstPartLimits(j)
-	if len(limits) == 0 {
-		return func() bool { return true }
-	}
-	started, done := d.Timer.Boot(), make(chan struct{})
-	// decided is set by whichever comes first: the response or the timeout.
-	var decided atomic.Bool
-	go func() {
-		for _, l := range limits {
-			n, stop := d.Timer.Notify(max(0, started+l.after-d.Timer.Boot()))
-			select {
-			case <-n:
-			case <-done:
-				stop()
-				return
-			case <-c.Done():
-				stop()
-				return
-			}
-			stop()
-			if l.needsBudget && !d.Budget.Available(j.retryTag()) {
-				d.Log.Info("no response from upstream within the limit; retry budget is empty, still waiting", zap.String("request", j.ID), zap.String("upstream", string(j.choice.ID)))
-				continue
-			}
-			if decided.CompareAndSwap(false, true) {
-				j.outdated.Store(!l.needsBudget)
-				d.Log.Info("no response from upstream within the limit; cancelling", zap.String("request", j.ID), zap.String("upstream", string(j.choice.ID)), zap.Duration("limit", l.after), zap.Bool("outdated", !l.needsBudget))
-				cancel()
-			}
-			return
-		}
-	}()
-	return sync.OnceValue(func() bool {
-		close(done)
-		return decided.CompareAndSwap(false, true)
-	})
-}
-
 // handleSendError handles a send that failed without a response. The parameter broken is false if it was
 // cancelled because the upstream had said nothing.
 func (d *Dispatcher) handleSendError(c context.Context, j *job, err error, broken bool) error {
--- a/state/pool/pool.go
+++ b/state/pool/pool.go
@@ -226,13 +226,9 @@
 
 // Addresses returns the addresses of the upstreams that are not removed.
 func (p *Pool) Addresses(now time.Duration) []string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	out := make([]string, 0, len(p.entries))
-	for _, e := range p.entries {
-		if e.active(now) {
-			out = append(out, e.Address)
-		}
+	var out []string
+	for _, u := range p.Upstreams(now) {
+		out = append(out, u.Address)
 	}
 	return out
 }
