--- a/coordination/streams/streams.go
+++ b/coordination/streams/streams.go
@@ -64,6 +64,8 @@
 	software.Split
 	// version is that of the row, or 0 if the store has no row or an older split.
 	version mirror.Version
+	// several is set while upstreams of several versions serve.
+	several bool
 	// lacking is set while the store has not this split.
 	lacking bool
 	// neededSince is when another split was first found to be needed, or 0, and triedAt when it was
@@ -185,9 +187,14 @@
 	return v, v != ""
 }
 
-// MayDeviate reports whether a stream may begin at another version than the planned one. That has to be
-// recorded in the store.
-func (r *Registry) MayDeviate() bool { return r.StoreReachable() }
+// MayDeviate reports whether a stream may begin at another version than the planned one: several serve, and
+// that can be recorded in the store.
+func (r *Registry) MayDeviate(s route.ServiceName) bool {
+	r.mu.Lock()
+	several := r.split(s).several
+	r.mu.Unlock()
+	return several && r.StoreReachable()
+}
 
 // Begin records that a stream begins, or is about to begin.
 func (r *Registry) Begin(x software.Stream) {
@@ -273,6 +280,7 @@
 		serving := r.Serving(s)
 		r.mu.Lock()
 		x := r.split(s)
+		x.several = len(serving) > 1
 		next, differs := x.Next(serving, r.storeTime())
 		if !differs && !x.lacking || !r.storeTimeKnown {
 			x.neededSince = 0
--- a/protocol/dispatch/software.go
+++ b/protocol/dispatch/software.go
@@ -63,7 +63,7 @@
 	if !planned || ok && h.StartsIn() <= left {
 		return h, ok
 	}
-	if !d.Streams.MayDeviate() && d.Pool.Serves(j.service.Name, q.Software, now) {
+	if !d.Streams.MayDeviate(j.service.Name) && d.Pool.Serves(j.service.Name, q.Software, now) {
 		return h, ok
 	}
 	q.Software = ""
