streams: an instance that has not heard of its split lately records each stream

An instance that was frozen began streams by the split of before, and others took them to have begun by the new one. TestStreamsOfAnOldSplitAreRecorded failed before.

--- a/coordination/streams/streams.go
+++ b/coordination/streams/streams.go
@@ -27,6 +27,8 @@
 	// learnTime is the time within which all instances know a changed split. Instances that were
 	// frozen learn it soon after, and record the streams that they began meanwhile.
 	learnTime = 3 * time.Second
+	// staleAfter is the age from which on a split may have been replaced. It is below learnTime.
+	staleAfter = 2500 * time.Millisecond
 	// maxRowLag is how long the row of an upstream may be that of the process before.
 	maxRowLag = 5 * time.Second
 	// splitInterval is the minimum time between two writes of the split of a service, substituteDelay
@@ -50,6 +52,8 @@
 	Ready func() bool
 	// Responsible reports whether this instance is the one that writes splits.
 	Responsible func() bool
+	// SplitAge returns how long ago the splits were last known to be the newest.
+	SplitAge func() time.Duration
 	// PeerCount returns the number of other instances.
 	PeerCount func() int
 	// StoreReachable reports whether calls to the store have succeeded lately.
@@ -200,7 +204,7 @@
 func (r *Registry) Begin(x software.Stream) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	x.BegunAt = r.Timer.Boot()
+	x.BegunAt, x.Stale = r.Timer.Boot(), r.SplitAge() > staleAfter
 	s := route.ServiceName(x.Service)
 	old, known := r.begun.Get(x.ID)
 	r.begun.Add(x, x.BegunAt-r.settleTime(s))
@@ -209,7 +213,7 @@
 	}
 	switch {
 	case !r.needsRecord(x):
-	case r.split(s).Split[x.Slot].Version != x.Version:
+	case x.Stale, r.split(s).Split[x.Slot].Version != x.Version:
 		notify(r.urgent)
 	default:
 		notify(r.changed)
@@ -239,8 +243,9 @@
 	if s.Split == (software.Split{}) && !x.Version.IsStated() {
 		return false
 	}
-	v, ok := s.Begun(x.Slot, r.storeTime(), r.settleTime(route.ServiceName(x.Service)))
-	return !ok || v != x.Version
+	now, settle := r.storeTime(), r.settleTime(route.ServiceName(x.Service))
+	v, ok := s.Begun(x.Slot, now, settle)
+	return !ok || v != x.Version || x.Stale && !s.Single(now, settle)
 }
 
 // Find returns the version at which a stream began, and false if that is not known. It reads the
--- a/coordination/streams/streams_test.go
+++ b/coordination/streams/streams_test.go
@@ -31,6 +31,8 @@
 	clock    *timer.Service
 	serving  map[software.Version]int
 	lifetime time.Duration
+	// age is the age of the splits.
+	age time.Duration
 }
 
 func newFleet() *fleet {
@@ -45,7 +47,7 @@
 		},
 		Serving: func(route.ServiceName) map[software.Version]int { return f.serving },
 		Ready:   func() bool { return false }, Responsible: func() bool { return true }, PeerCount: func() int { return 1 },
-		StoreReachable: func() bool { return true },
+		StoreReachable: func() bool { return true }, SplitAge: func() time.Duration { return f.age },
 	})
 	r.ObserveStoreTime(time.Hour)
 	f.read(t, r)
@@ -139,6 +141,29 @@
 	eventuallyFound(t, b, x)
 }
 
+// An instance that was frozen has not heard of a newer split. The streams that it begins are recorded, though
+// its own split says that they follow from it.
+func TestStreamsOfAnOldSplitAreRecorded(t *testing.T) {
+	f := newFleet()
+	f.serving = map[software.Version]int{v1: 9, v2: 9}
+	a := f.add(t, "a")
+	a.Step(t.Context())
+	a.ObserveStoreTime(2 * time.Hour)
+	f.age = 5 * time.Second
+	x := stream("s", v1)
+	x.Version, _ = a.Planned(service, x.Slot)
+	a.Begin(x)
+	for end := time.Now().Add(timeout); ; time.Sleep(10 * time.Millisecond) {
+		rows, _, err := f.store.Client().Read(t.Context(), "streams")
+		if err != nil || time.Now().After(end) {
+			t.Fatalf("no record, %v", err)
+		}
+		if len(rows) > 0 {
+			return
+		}
+	}
+}
+
 // The store is away: what is settled is known all the same, what is not is unknown.
 func TestStreamsDuringAnOutage(t *testing.T) {
 	f := newFleet()
--- a/entry/streams.go
+++ b/entry/streams.go
@@ -21,6 +21,7 @@
 		Timer: e.timer, Log: log, Lifetimes: e.streamLifetimes, Store: e.Store, FleetTable: ownership.FleetTable, RecordTable: streamsTable,
 		Serving: func(s route.ServiceName) map[software.Version]int { return e.pool.Serving(s, e.timer.Boot()) },
 		Ready:   e.Ready, Responsible: func() bool { return e.coordinator(streams.SplitPrefix) == e.Name },
+		SplitAge:       func() time.Duration { return e.freshness[ownership.FleetTable].State(e.timer.Boot()).Age },
 		PeerCount:      func() int { return int(e.peers.Load()) },
 		StoreReachable: func() bool { return !e.feeds[e.Tables.Upstreams].Contact().Unstable(e.timer.Boot()) },
 	})
--- a/state/software/streams.go
+++ b/state/software/streams.go
@@ -26,6 +26,9 @@
 	Version  Version
 	Upstream string
 	BegunAt  time.Duration
+	// Stale is set if the instance had not known for long that its split was the newest, such as one that
+	// was frozen.
+	Stale bool
 }
 
 // Streams holds the streams that an instance has begun lately. It is bounded: the oldest ones are
