--- a/state/reach/reach.go
+++ b/state/reach/reach.go
@@ -116,9 +116,13 @@
 }
 
 // Probes returns the upstreams to which direct connections are to be tried now: those that are cut off
-// and, while requests wait and nothing is heard of any upstream, some others.
+// and, while requests wait and nothing is heard of any upstream, a few others, which may be busy. Once one of
+// them is cut off, the rest is tried.
 func (r *Reach) Probes(silent bool, now time.Duration) []string {
-	silent = silent || r.cutSinceConnected() > 0
+	most := minCut
+	if r.cutSinceConnected() > 0 {
+		silent, most = true, maxProbes
+	}
 	var out []string
 	for a, t := range r.targets {
 		if t.cut && now-t.probedAt >= cutProbeInterval || !t.cut && silent && now-max(t.probedAt, t.connectedAt) >= soundProbeInterval {
@@ -128,6 +132,13 @@
 	slices.SortFunc(out, func(a, b string) int {
 		return cmp.Or(cmp.Compare(r.targets[a].probedAt, r.targets[b].probedAt), cmp.Compare(a, b))
 	})
+	sound := 0
+	out = slices.DeleteFunc(out, func(a string) bool {
+		if !r.targets[a].cut {
+			sound++
+		}
+		return !r.targets[a].cut && sound > most
+	})
 	out = out[:min(len(out), maxProbes)]
 	for _, a := range out {
 		r.targets[a].probedAt = now
