--- a/transport/mesh/connect.go
+++ b/transport/mesh/connect.go
@@ -139,8 +139,8 @@
 		a.Refused = errors.Is(err, syscall.ECONNREFUSED)
 		a.Silent = !a.Refused
 	}
-	body, x2 := Marshal(&a)
-	if x2 != nil || write(conn, &reply{Body: body}) != nil || err != nil {
+	body, failed := Marshal(&a)
+	if failed != nil || write(conn, &reply{Body: body}) != nil || err != nil {
 		return
 	}
 	forward(c, conn, r, up)
