proof: a frozen instance stands still before the call is sent that it must not run

Traced: on a busy machine the threads of a process run on for a while after SIGSTOP, so that the instance writes its intent first; the answer is then right, and the test was not of a frozen instance. It now waits until all threads have stopped, and asks for the same.

--- a/proof/harness_test.go
+++ b/proof/harness_test.go
@@ -386,6 +386,41 @@
 	_ = n.process.Process.Signal(s)
 }
 
+// freeze stops the process of a node, and returns once all of its threads stand still: on a busy machine they
+// run on for a while after the signal.
+func (n *node) freeze(t *testing.T) {
+	t.Helper()
+	n.signal(syscall.SIGSTOP)
+	tasks := fmt.Sprintf("/proc/%d/task", n.process.Process.Pid)
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
+		stopped, l := 0, threads(t, tasks)
+		for _, x := range l {
+			b, err := os.ReadFile(filepath.Join(tasks, x, "stat"))
+			if _, state, ok := strings.Cut(string(b), ") "); err == nil && ok && strings.HasPrefix(state, "T") {
+				stopped++
+			}
+		}
+		if stopped == len(l) {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("%d of %d threads have stopped", stopped, len(l))
+		}
+	}
+}
+
+func threads(t *testing.T, folder string) (names []string) {
+	t.Helper()
+	l, err := os.ReadDir(folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, x := range l {
+		names = append(names, x.Name())
+	}
+	return names
+}
+
 // kill ends the process of a node with SIGKILL and lists it as gone.
 func (w *harness) kill(n *node) {
 	n.signal(syscall.SIGKILL)
--- a/proof/idempotency_test.go
+++ b/proof/idempotency_test.go
@@ -116,7 +116,7 @@
 	w.waitReady(w.nodes...)
 	keys := w.applyPlans(alphaPlan)
 	frozen := w.nodes[0]
-	frozen.signal(syscall.SIGSTOP)
+	frozen.freeze(t)
 	go func() { _ = w.book(frozen, keys["alpha"], "frozen", "") }()
 	time.Sleep(100 * time.Millisecond)
 	if a := w.book(w.nodes[1], keys["alpha"], "frozen", ""); a.status != http.StatusOK {
