--- /dev/null
+++ b/coordination/streams/outage_test.go
@@ -0,0 +1,159 @@
+package streams_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"gentiangauge.example/gentiangauge/coordination/streams"
+	"gentiangauge.example/gentiangauge/state/software"
+	"gentiangauge.example/gentiangauge/transport/store"
+)
+
+// fail has all calls of some kinds to the store fail.
+func (f *fleet) fail(calls ...string) {
+	f.store.InjectFault = func(call string) (bool, error) {
+		for _, x := range calls {
+			if x == call {
+				return false, errors.New("away")
+			}
+		}
+		return false, nil
+	}
+}
+
+// newMixedFleet returns two instances that know a settled split of two versions.
+func newMixedFleet(t *testing.T) (f *fleet, a, b *streams.Registry) {
+	f = newFleet()
+	f.serving = map[software.Version]int{v1: 9, v2: 9}
+	a = f.add(t, "a")
+	a.Step(t.Context())
+	b = f.add(t, "b")
+	a.ObserveStoreTime(2 * time.Hour)
+	b.ObserveStoreTime(2 * time.Hour)
+	a.Step(t.Context())
+	return f, a, b
+}
+
+// deviating returns a stream that begins at another version than the planned one.
+func deviating(r *streams.Registry, name string) software.Stream {
+	x := stream(name, v1)
+	if p, _ := r.Planned(service, x.Slot); p == v1 {
+		x.Version = v2
+	}
+	return x
+}
+
+// The store takes no records any more, while its feeds do not fail. No further stream may deviate: callers
+// could not take it up.
+func TestStreamsDoNotDeviateWhileRecordsCannotBeWritten(t *testing.T) {
+	f, a, _ := newMixedFleet(t)
+	if !a.MayDeviate(service) {
+		t.Fatal("no stream may deviate at first")
+	}
+	f.fail("transact")
+	a.Begin(deviating(a, "s"))
+	for end := time.Now().Add(timeout); a.MayDeviate(service); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("streams may deviate though records cannot be written")
+		}
+	}
+	f.fail()
+	for end := time.Now().Add(timeout); !a.MayDeviate(service); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("no stream may deviate though records are written again")
+		}
+	}
+}
+
+// The store does not answer at all, so that the writes of records take long to fail.
+func TestStreamsDoNotDeviateWhileARecordIsBeingWritten(t *testing.T) {
+	f, a, _ := newMixedFleet(t)
+	hang := make(chan struct{})
+	t.Cleanup(func() { close(hang) })
+	f.store.InjectFault = func(string) (bool, error) {
+		<-hang
+		return false, errors.New("away")
+	}
+	a.Begin(deviating(a, "s"))
+	for end := time.Now().Add(timeout); a.MayDeviate(service); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("streams may deviate though no record has been written")
+		}
+	}
+}
+
+// The records cannot be read as a stream is taken up that has deviated. It is not taken to have begun as
+// planned.
+func TestUnreadableRecordsAreNotTakenForNone(t *testing.T) {
+	f, a, b := newMixedFleet(t)
+	x := deviating(a, "s")
+	f.fail("transact", "read")
+	a.Begin(x)
+	if v, ok := find(t, b, x); ok && v != x.Version {
+		t.Errorf("found at %q, it began at %q", v, x.Version)
+	}
+}
+
+// An instance has stood still or has been cut off, while others have begun streams by a split that it does
+// not know. It takes no stream to have begun by the one that it knows.
+func TestInstanceOutOfStepDoesNotAnswerByItsOldSplit(t *testing.T) {
+	f := newFleet()
+	f.lifetime = 100 * time.Millisecond
+	f.serving = map[software.Version]int{v1: 9}
+	a := f.add(t, "a")
+	a.Step(t.Context())
+	b := f.add(t, "b")
+	f.serving = map[software.Version]int{v1: 1, v2: 9}
+	time.Sleep(1100 * time.Millisecond)
+	a.Step(t.Context())
+	a.ObserveStoreTime(2 * time.Hour)
+	b.ObserveStoreTime(2 * time.Hour)
+	f.age = 5 * time.Second
+	for i := range software.Slot(64) {
+		x := software.Stream{ID: software.StreamID(i), Service: string(service), Slot: i}
+		x.Version, _ = a.Planned(service, i)
+		a.Begin(x)
+		if v, ok := b.Find(t.Context(), service, i, x.ID); ok && v != x.Version {
+			t.Fatalf("slot %d: found at %q, it began at %q", i, v, x.Version)
+		}
+	}
+}
+
+// Another version joins, and one instance knows of the new split before another one does, which is at most
+// as late as instances in step are.
+func TestNewSplitIsUsedOnceAllInstancesKnowIt(t *testing.T) {
+	f := newFleet()
+	f.serving = map[software.Version]int{v1: 9}
+	a := f.add(t, "a")
+	a.Step(t.Context())
+	b := f.add(t, "b")
+	f.serving = map[software.Version]int{v1: 1, v2: 9}
+	time.Sleep(1100 * time.Millisecond)
+	a.Step(t.Context())
+	if len(f.splits(t)) == 0 {
+		t.Fatal("no split was written")
+	}
+	for i := range software.Slot(64) {
+		x := software.Stream{ID: software.StreamID(i), Service: string(service), Slot: i}
+		x.Version, _ = a.Planned(service, i)
+		if v, ok := b.Find(t.Context(), service, i, x.ID); ok && v != x.Version {
+			t.Fatalf("slot %d: found at %q, planned at %q", i, v, x.Version)
+		}
+	}
+	if a.MayDeviate(service) {
+		t.Error("streams may deviate before all instances know that several versions serve")
+	}
+}
+
+// splits returns the stored splits.
+func (f *fleet) splits(t *testing.T) (out []store.Key) {
+	rows, _, err := f.store.Client().Read(t.Context(), "fleet")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range rows {
+		out = append(out, store.Key{Table: "fleet", Key: r.Key})
+	}
+	return out
+}
--- a/protocol/dispatch/resume_test.go
+++ b/protocol/dispatch/resume_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"gentiangauge.example/gentiangauge/protocol/dispatch"
+	"gentiangauge.example/gentiangauge/state/route"
 )
 
 const wholeStream = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"
@@ -15,6 +16,8 @@
 // resumeWith has a stream break off inside its third event, and other upstreams answer the request for its rest.
 func resumeWith(upstreams int, rest ...*dispatch.Response) (body string, sends int, err error) {
 	b := newHarness(upstreams)
+	b.configuration.Routes[0].MaxAttempts = 3
+	b.table = route.New(b.configuration)
 	b.respond = func(n int, _ dispatch.UpstreamRequest) (*dispatch.Response, error) {
 		if n == 1 {
 			return stream(firstHalf, true), nil
