paths: a crash counts also where this instance cannot reach the host

Callers of instances that are cut off from the upstreams could crash one upstream after the other with the same request: 21 crashes in 12 s, 11 requests later than 3 s after the fifth, where 3 may.

Cause: a crash counted only if the host refused a direct connection. At an instance that sends through others, direct connections hang, so that it reported no crash, and no verdict was reached.

Ruled out: trials without a verdict; the log had no trial at all, as nothing was suspected.

An instance whose own connection fails in another way now takes the word of two others: if both are refused and none connects, the process has ended. One is not enough, since it may be cut off itself (the case "silent here, refused there" stands).

--- a/coordination/paths/paths.go
+++ b/coordination/paths/paths.go
@@ -129,7 +129,8 @@
 // DialIndirect opens a connection to an upstream through another instance. It fails with the error of the
 // last instance that was asked.
 func (p *Paths) DialIndirect(c context.Context, _, address string) (net.Conn, error) {
-	return p.dialIndirect(c, address, true)
+	n, _, err := p.dialIndirect(c, address, true)
+	return n, err
 }
 
 // forwarders returns the instances to ask for one connection. The first two are of different availability
@@ -157,10 +158,12 @@
 	return out[:min(len(out), maxForwarders)]
 }
 
-func (p *Paths) dialIndirect(c context.Context, address string, near bool) (net.Conn, error) {
+// dialIndirect opens a connection to an upstream through another instance. It returns the number of instances
+// to which the connection was refused.
+func (p *Paths) dialIndirect(c context.Context, address string, near bool) (conn net.Conn, refusals int, err error) {
 	c, cancel := context.WithTimeout(c, indirectTimeout)
 	defer cancel()
-	var err error = &net.OpError{Op: "dial", Err: syscall.EHOSTUNREACH}
+	err = &net.OpError{Op: "dial", Err: syscall.EHOSTUNREACH}
 	var failed []string
 	for _, f := range p.forwarders(near) {
 		n, x := f.Dial(c, address)
@@ -173,19 +176,29 @@
 					p.cutOff[name] = now + cutOffTime
 				}
 			})
-			return n, nil
+			return n, refusals, nil
 		}
 		err, failed = x, append(failed, f.Name)
+		if errors.Is(x, syscall.ECONNREFUSED) {
+			refusals++
+		}
 		if c.Err() != nil {
 			break
 		}
 	}
-	return nil, err
+	return nil, refusals, err
 }
 
+// minRefusals is the number of other instances whose connections the host of an ended process must refuse, if
+// this instance cannot reach that host.
+const minRefusals = 2
+
 // HasEnded reports whether the process at an address has ended: its host refuses connections, also those of
 // other instances, if there are any. Instances of another availability zone are asked first, since the
 // links of a whole zone may be cut.
+//
+// Load pattern: requests that crash upstreams come at instances that are cut off from them, whose direct
+// connections hang.
 func (p *Paths) HasEnded(c context.Context, address string) bool {
 	x, cancel := context.WithTimeout(c, probeTimeout)
 	defer cancel()
@@ -193,17 +206,19 @@
 	if err == nil {
 		_ = n.Close()
 	}
-	if !errors.Is(err, syscall.ECONNREFUSED) {
+	if err == nil || c.Err() != nil {
 		return false
 	}
 	p.RecordDirect(address, err)
-	if len(p.Forwarders()) == 0 {
+	refused := errors.Is(err, syscall.ECONNREFUSED)
+	if refused && len(p.Forwarders()) == 0 {
 		return true
 	}
-	if n, err = p.dialIndirect(c, address, false); err == nil {
+	n, refusals, err := p.dialIndirect(c, address, false)
+	if err == nil {
 		_ = n.Close()
 	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	return errors.Is(err, syscall.ECONNREFUSED) && (refused || refusals >= minRefusals)
 }
 
 // verify tries a direct connection once more, and records its outcome.
--- a/coordination/paths/paths_test.go
+++ b/coordination/paths/paths_test.go
@@ -76,6 +76,10 @@
 		"reached by a neighbour":      {refused, []error{nil}, nil, false},
 		"others do not answer":        {refused, nil, []error{errSilent}, false},
 		"silent here, refused there":  {errSilent, nil, []error{refused}, false},
+		"silent here, refused twice":  {errSilent, []error{refused}, []error{refused}, true},
+		"silent here, reached near":   {errSilent, []error{nil}, []error{refused}, false},
+		"silent here and near":        {errSilent, []error{errSilent}, []error{refused}, false},
+		"silent to all":               {errSilent, []error{errSilent}, []error{errSilent}, false},
 		"connected here":              {nil, nil, []error{refused}, false},
 		"refused there, reached near": {refused, []error{nil}, []error{refused}, false},
 	} {
