--- a/state/suspicion/fleet_test.go
+++ b/state/suspicion/fleet_test.go
@@ -13,17 +13,31 @@
 const (
 	// contact, toleratedCrashes and toleratedSends are the users' bound: at most three requests
 	// later than three seconds after the fifth crash.
-	contact          = 3 * time.Second
-	toleratedCrashes = 5
-	toleratedSends   = 3
+	contact = 3 * time.Second
+	// The third crash counts if whole requests cause them.
+	toleratedCrashes        = 5
+	toleratedRequestCrashes = 3
+	toleratedSends          = 3
 	// repeatTime is how long evidence is repeated in heartbeats.
 	repeatTime = 4 * time.Second
 	downTime   = 3 * time.Second
 	// silence is the time after which an instance is taken for gone.
-	silence  = 1500 * time.Millisecond
-	crashing = "dead"
+	silence = 1500 * time.Millisecond
 )
 
+// scenario is what crashes the engines of a fleet.
+type scenario struct {
+	// crashing are the parts of requests that crash engines. If alone is set, each is a whole request, which
+	// comes again.
+	crashing []string
+	alone    bool
+	// unseen is the share of the crashes that an instance with requests there does not notice, because the
+	// engine fell silent or was back at once.
+	unseen float64
+}
+
+var onePart = scenario{crashing: []string{"dead"}}
+
 // node is a simulated instance.
 type node struct {
 	simulation.Node
@@ -59,19 +73,20 @@
 // fleet simulates instances whose requests may crash engines.
 type fleet struct {
 	*simulation.Simulation
+	scenario
 	t       *testing.T
 	nodes   []*node
 	engines []*engine
 	// stored are the verdicts in the store.
 	stored []suspicion.Verdict
-	// crashes has the times of crashes by requests, arrivals those of the requests with the
+	// crashes has, by part, the times of crashes by requests, arrivals those of the requests with the
 	// crashing part that instances without faults sent.
-	crashes, arrivals []time.Duration
+	crashes, arrivals map[string][]time.Duration
 	sent, denied      int
 }
 
-func newFleet(t *testing.T, size, engines int, seed uint64, loss float64) *fleet {
-	f := &fleet{Simulation: simulation.New(size, seed, loss), t: t}
+func newFleet(t *testing.T, k scenario, size, engines int, seed uint64, loss float64) *fleet {
+	f := &fleet{Simulation: simulation.New(size, seed, loss), scenario: k, t: t, crashes: map[string][]time.Duration{}, arrivals: map[string][]time.Duration{}}
 	for i := range size {
 		n := &node{Node: simulation.Node{Name: fmt.Sprint("n", i)}}
 		f.start(n)
@@ -83,6 +98,16 @@
 	return f
 }
 
+// crashingPart returns the part of a request that crashes engines, or an empty text.
+func (f *fleet) crashingPart(names []string) string {
+	for _, x := range f.crashing {
+		if slices.Contains(names, x) {
+			return x
+		}
+	}
+	return ""
+}
+
 // start gives an instance the state of a new process, which reads the store.
 func (f *fleet) start(n *node) {
 	n.ledger, n.trials, n.evidence, n.sound = suspicion.NewLedger(suspectAfter), suspicion.NewTrials(), nil, nil
@@ -117,7 +142,7 @@
 	case suspicion.Clean:
 		f.send(s)
 	case suspicion.Blocked:
-		if !slices.Contains(names, crashing) {
+		if f.crashingPart(names) == "" {
 			f.denied++
 		}
 	case suspicion.Suspected:
@@ -147,16 +172,17 @@
 		if e.down {
 			return
 		}
-		if slices.Contains(s.names, crashing) && !s.node.Excused(f.Now) {
-			f.arrivals = append(f.arrivals, f.Now)
+		part := f.crashingPart(s.names)
+		if part != "" && !s.node.Excused(f.Now) {
+			f.arrivals[part] = append(f.arrivals[part], f.Now)
 		}
 		e.pending = append(e.pending, s)
 		startedAt := e.startedAt
 		f.After(f.Between(50, 600), func() {
 			switch {
 			case e.startedAt != startedAt:
-			case slices.Contains(s.names, crashing):
-				f.crashes = append(f.crashes, f.Now)
+			case part != "":
+				f.crashes[part] = append(f.crashes[part], f.Now)
 				f.crash(e)
 			default:
 				f.After(f.Between(30, 60), func() { f.answer(e, startedAt, s) })
@@ -207,6 +233,10 @@
 		if s.sound {
 			continue
 		}
+		if f.unseen > 0 && f.Random.Float64() < f.unseen {
+			f.At(&s.node.Node, f.Between(1, 10), func() { f.endTrial(s) })
+			continue
+		}
 		f.At(&s.node.Node, f.Between(1, 10), func() { f.recordCrash(x, s) })
 	}
 	e.pending, e.down = nil, true
@@ -283,8 +313,15 @@
 	f.After(time.Duration(f.Random.ExpFloat64()/rate*float64(time.Second)), func() { f.load(rate) })
 	n := f.nodes[f.Random.IntN(len(f.nodes))]
 	names := []string{fmt.Sprint("shared", f.Random.IntN(3)), fmt.Sprint("subject", f.Random.IntN(270))}
+	if f.alone {
+		names = []string{fmt.Sprint("request", f.sent)}
+	}
 	if f.Now > 2*time.Second && f.Random.IntN(20) == 0 {
-		names = append(names[:1], "subject7", crashing)
+		part := f.crashing[f.Random.IntN(len(f.crashing))]
+		names = append(names[:1], "subject7", part)
+		if f.alone {
+			names = []string{part}
+		}
 	}
 	f.sent++
 	f.At(&n.Node, 0, func() { f.request(n, names) })
@@ -292,48 +329,74 @@
 
 func (f *fleet) check(what string) {
 	f.t.Helper()
-	if len(f.crashes) == 0 {
-		f.t.Errorf("%s: no engine crashed", what)
-		return
+	tolerated := toleratedCrashes
+	if f.alone {
+		tolerated = toleratedRequestCrashes
 	}
-	late := 0
-	if len(f.crashes) >= toleratedCrashes {
-		from := f.crashes[toleratedCrashes-1] + contact
-		for _, at := range f.arrivals {
+	for _, part := range f.crashing {
+		if len(f.crashes[part]) == 0 {
+			f.t.Errorf("%s: no engine crashed by %s", what, part)
+		}
+		if len(f.crashes[part]) < tolerated {
+			continue
+		}
+		from, late := f.crashes[part][tolerated-1]+contact, 0
+		for _, at := range f.arrivals[part] {
 			if at > from {
 				late++
 			}
 		}
-	}
-	if late > toleratedSends {
-		f.t.Errorf("%s: %d requests with the crashing part arrived later than %v after the fifth of %d crashes", what, late, contact, len(f.crashes))
+		if late > toleratedSends {
+			f.t.Errorf("%s: %d requests with %s arrived later than %v after crash %d of %d", what, late, part, contact, tolerated, len(f.crashes[part]))
+		}
 	}
 	if f.denied > 5+f.sent/500 {
 		f.t.Errorf("%s: %d of %d requests were blocked though they are sound", what, f.denied, f.sent)
 	}
 }
 
-// TestCrashingPartIsBlockedThroughFaults sends requests with a part that crashes engines to a fleet
-// whose instances restart, freeze and are cut off, whose messages get lost and whose engines crash
-// for other reasons too.
-func TestCrashingPartIsBlockedThroughFaults(t *testing.T) {
-	for _, k := range []struct {
+// run simulates fleets of two sizes through faults.
+func (k scenario) run(t *testing.T, small, large uint64) {
+	for _, x := range []struct {
 		size, engines int
 		seeds         uint64
 		rate          float64
-	}{{13, 12, 40, 80}, {195, 156, 4, 600}} {
+	}{{13, 12, small, 80}, {195, 156, large, 600}} {
 		most := 0
-		for seed := range k.seeds {
-			f := newFleet(t, k.size, k.engines, seed, 0.1)
+		for seed := range x.seeds {
+			f := newFleet(t, k, x.size, x.engines, seed, 0.1)
 			for _, n := range f.nodes {
 				f.heartbeat(n)
 			}
-			f.load(k.rate)
+			f.load(x.rate)
 			f.After(time.Second, f.faults)
 			f.RunUntil(60 * time.Second)
-			f.check(fmt.Sprintf("%d instances, seed %d", k.size, seed))
-			most = max(most, len(f.crashes))
+			f.check(fmt.Sprintf("%d instances, seed %d", x.size, seed))
+			for _, l := range f.crashes {
+				most = max(most, len(l))
+			}
 		}
-		t.Logf("%d instances: up to %d crashes by requests", k.size, most)
+		t.Logf("%d instances: up to %d crashes by requests with one part", x.size, most)
 	}
 }
+
+// TestCrashingPartIsBlockedThroughFaults sends requests with a part that crashes engines to a fleet
+// whose instances restart, freeze and are cut off, whose messages get lost and whose engines crash
+// for other reasons too.
+func TestCrashingPartIsBlockedThroughFaults(t *testing.T) { onePart.run(t, 40, 4) }
+
+// Two parts crash engines at the same time.
+func TestTwoCrashingPartsAreBlockedThroughFaults(t *testing.T) {
+	scenario{crashing: []string{"dead", "deadly"}}.run(t, 30, 2)
+}
+
+// The same whole requests come again, and crash each engine that runs them.
+func TestCrashingRequestsAreBlockedThroughFaults(t *testing.T) {
+	scenario{crashing: []string{"dead", "deadly"}, alone: true}.run(t, 30, 2)
+}
+
+// Half of the crashes are not noticed: engines fall silent as they end, or are back before a connection to
+// them is refused.
+func TestCrashingPartIsBlockedThoughCrashesAreMissed(t *testing.T) {
+	scenario{crashing: []string{"dead"}, unseen: 0.5}.run(t, 30, 2)
+}
--- a/state/suspicion/ledger_test.go
+++ b/state/suspicion/ledger_test.go
@@ -99,6 +99,42 @@
 	expect(t, l, 3, suspicion.Clean, "sound")
 }
 
+// A sound part stands beside the cause in each request. A verdict blocks requests with both, and then an
+// upstream crashes for another reason while a request with the sound part alone is tried.
+func TestCrashesOfAVerdictBlockNoOtherRequest(t *testing.T) {
+	l := suspicion.NewLedger(suspectAfter)
+	for n := range 3 {
+		add(l, n, 1, parts("rare", "dead"))
+	}
+	if _, ok := l.Decide(crash(2), parts("rare", "dead"), 2); !ok {
+		t.Fatal("no verdict")
+	}
+	add(l, 3, 3, parts("rare"))
+	if v, ok := l.Decide(crash(3), parts("rare"), 4); ok {
+		t.Errorf("verdict %v after one crash that nothing explains", v)
+	}
+	add(l, 4, 5, parts("rare"))
+	if _, ok := l.Decide(crash(4), parts("rare"), 6); !ok {
+		t.Error("no verdict after two such crashes")
+	}
+}
+
+// Two parts crash upstreams, and both come beside the same sound part, which has more crashes than each.
+func TestPartBesideTwoCausesIsNotBlockedAlone(t *testing.T) {
+	l := suspicion.NewLedger(suspectAfter)
+	for n := range 2 {
+		add(l, n, 1, parts("rare", "dead"))
+		add(l, n+2, 1, parts("rare", "deadly"))
+	}
+	add(l, 4, 2, parts("rare", "dead"))
+	if _, ok := l.Decide(crash(4), parts("rare", "dead"), 3); !ok {
+		t.Fatal("no verdict")
+	}
+	expect(t, l, 4, suspicion.Blocked, "rare", "dead")
+	expect(t, l, 4, suspicion.Suspected, "rare", "deadly")
+	expect(t, l, 4, suspicion.Suspected, "rare")
+}
+
 // A verdict on a sound part is withdrawn by an answer, at every instance that learns of it.
 func TestWrongVerdictIsWithdrawn(t *testing.T) {
 	l, other := suspicion.NewLedger(suspectAfter), suspicion.NewLedger(suspectAfter)
