suspicion: a verdict needs crashes that no other verdict explains, and covers all suspected parts

Cause: the part with the most crashes alone became the verdict. A sound part beside two causes has the crashes of both, and one beside a cause keeps the crashes that the verdict on it explains, so that a single further crash, for whatever reason, blocks it.

A verdict now covers all parts of the request that are suspected, and needs two crashes that no verdict explains. A request proves nothing if another one on the upstream has nearly as many crashes.

--- a/state/suspicion/fleet_test.go
+++ b/state/suspicion/fleet_test.go
@@ -31,6 +31,8 @@
 	// comes again.
 	crashing []string
 	alone    bool
+	// sameSubject is set if all crashing parts come beside the same sound part, and not each beside its own.
+	sameSubject bool
 	// unseen is the share of the crashes that an instance with requests there does not notice, because the
 	// engine fell silent or was back at once.
 	unseen float64
@@ -108,6 +110,14 @@
 	return ""
 }
 
+// beside returns the sound part that comes beside the i-th crashing part.
+func (k scenario) beside(i int) string {
+	if k.sameSubject {
+		i = 0
+	}
+	return fmt.Sprint("subject", 7+i)
+}
+
 // start gives an instance the state of a new process, which reads the store.
 func (f *fleet) start(n *node) {
 	n.ledger, n.trials, n.evidence, n.sound = suspicion.NewLedger(suspectAfter), suspicion.NewTrials(), nil, nil
@@ -317,8 +327,9 @@
 		names = []string{fmt.Sprint("request", f.sent)}
 	}
 	if f.Now > 2*time.Second && f.Random.IntN(20) == 0 {
-		part := f.crashing[f.Random.IntN(len(f.crashing))]
-		names = append(names[:1], "subject7", part)
+		i := f.Random.IntN(len(f.crashing))
+		part := f.crashing[i]
+		names = append(names[:1], f.beside(i), part)
 		if f.alone {
 			names = []string{part}
 		}
@@ -390,6 +401,11 @@
 	scenario{crashing: []string{"dead", "deadly"}}.run(t, 30, 2)
 }
 
+// Two parts crash engines at the same time, and always come beside the same sound part.
+func TestTwoCrashingPartsBesideOneSoundPart(t *testing.T) {
+	scenario{crashing: []string{"dead", "deadly"}, sameSubject: true}.run(t, 30, 0)
+}
+
 // The same whole requests come again, and crash each engine that runs them.
 func TestCrashingRequestsAreBlockedThroughFaults(t *testing.T) {
 	scenario{crashing: []string{"dead", "deadly"}, alone: true}.run(t, 30, 2)
--- a/state/suspicion/ledger.go
+++ b/state/suspicion/ledger.go
@@ -280,25 +280,27 @@
 }
 
 // Decide returns the verdict on a request that was sent although it was suspected, after the
-// upstream crashed. The cause is among the parts of the request that have the most crashes. It
-// returns false if a part of other requests on that upstream has as many, because the request
-// may then be sound.
+// upstream crashed. It blocks requests with all suspected parts of that one: a sound part beside the
+// cause may stand in more crashes than the cause, and is removed once an upstream has answered it.
+//
+// It returns false if the request may be sound: a part of another request on that upstream has as many
+// crashes as any part of this one, or verdicts explain most of the crashes.
 func (l *Ledger) Decide(x Crash, parts []Part, now time.Duration) (Verdict, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	k, ok := l.crashes[x]
 	worst, most := l.worst(parts)
-	if !ok || !k.parts[worst] || most <= l.suspectAfter {
+	if !ok || !k.parts[worst] || most <= l.suspectAfter || l.unexplained(worst) < l.suspectAfter {
 		return Verdict{}, false
 	}
 	for p, suspect := range k.parts {
-		if suspect && !slices.Contains(parts, p) && l.counts[p] >= most {
+		if suspect && !slices.Contains(parts, p) && l.counts[p] >= max(l.suspectAfter, most-1) {
 			return Verdict{}, false
 		}
 	}
 	v := Verdict{VerdictID: VerdictID{Crash: x, Lead: worst}}
 	for _, p := range parts {
-		if l.counts[p] == most {
+		if l.counts[p] >= l.suspectAfter {
 			v.Parts = append(v.Parts, p)
 		}
 	}
@@ -306,6 +308,17 @@
 	return v, true
 }
 
+// unexplained returns the number of crashes of a part that no verdict explains.
+func (l *Ledger) unexplained(p Part) int {
+	n := 0
+	for _, x := range l.crashes {
+		if x.parts[p] && len(x.explained) == 0 {
+			n++
+		}
+	}
+	return n
+}
+
 func (l *Ledger) addVerdict(v Verdict, now time.Duration) {
 	if len(l.verdicts) >= maxVerdicts {
 		var quietest VerdictID
