suspicion, dispatch: trials that break off without a known crash are bounded

A request that crashes upstreams in a way that nobody can see was tried without end: engines fall silent as they end, or are back before a connection is refused.

Cause: a trial without an outcome left nothing behind. It counts now as one crash with the parts of that request alone, and the second such trial leads to a verdict. An answer clears them as before. No upstream is taken to have ended by it; builds from before ignore it as an old process.

A whole request that was merely repeated is left out of a verdict on its parts (since it was not: the verdict would have blocked that request alone).

TestCrashingPartIsBlockedThoughCrashesAreMissed and TestTrialsThatBreakOffAreBounded (10 sends, want 2) failed before, TestRepeatedRequestIsNotBlockedAlone on.

--- a/coordination/suspect/suspect.go
+++ b/coordination/suspect/suspect.go
@@ -93,8 +93,9 @@
 }
 
 // RecordCrash records that the process of an upstream ended before it had answered a request with
-// some parts, and tells all instances. Trial is set if the request was sent although it was
-// suspected, without another such request beside it. It returns the new status of the request.
+// some parts, the last of which stands for the request itself, and tells all instances. Trial is set if
+// the request was sent although it was suspected, without another such request beside it. It returns the
+// new status of the request.
 func (r *Registry) RecordCrash(c context.Context, x suspicion.Crash, parts []suspicion.Part, trial bool) suspicion.Status {
 	e := suspicion.Evidence{Crash: x, Parts: parts}
 	now := r.Timer.Boot()
@@ -104,19 +105,26 @@
 		r.mu.Unlock()
 		r.announce(c, &announcement{Crashes: []*crashMessage{encodeCrash(e)}})
 	}
-	if trial {
+	if trial && len(parts) > 0 {
 		r.decide(c, x, parts)
 	}
 	s, _ := r.Status(parts)
 	return s
 }
 
+// RecordUnresolved records that a request with some parts broke off on trial, though its upstream is not known
+// to have ended: it may have fallen silent, or be back already. Else requests that crash upstreams in this
+// way would be tried without end.
+func (r *Registry) RecordUnresolved(c context.Context, upstream string, parts []suspicion.Part) {
+	r.RecordCrash(c, suspicion.NewUnresolved(upstream, r.Timer.Boot()), parts, true)
+}
+
 // decide reaches a verdict on a suspected request that was on an upstream as it crashed.
 func (r *Registry) decide(c context.Context, x suspicion.Crash, parts []suspicion.Part) {
 	// The caller's context may end first; the verdict counts all the same.
 	c = context.WithoutCancel(c)
 	_ = r.Timer.Wait(c, reportWait)
-	v, ok := r.ledger.Decide(x, parts, r.Timer.Boot())
+	v, ok := r.ledger.Decide(x, parts, parts[len(parts)-1], r.Timer.Boot())
 	if !ok {
 		r.Log.Info("no verdict after a trial: another request may be the cause", zap.String("upstream", x.Upstream), zap.Int64("born", x.StartedAt), zap.Stringers("parts", parts))
 		return
@@ -161,7 +169,7 @@
 	if len(e.Parts) > 0 {
 		r.record(timeline.Suspected, e.Crash, e.Parts[0])
 	}
-	if r.OnCrash != nil {
+	if r.OnCrash != nil && !e.IsUnresolved() {
 		r.OnCrash(e.Crash)
 	}
 	return true
--- a/protocol/dispatch/crash.go
+++ b/protocol/dispatch/crash.go
@@ -116,7 +116,13 @@
 	d.Metrics.countBreak(ended)
 	d.Log.Info("connection broke during request", zap.String("request", j.ID), zap.String("upstream", string(u.ID)), zap.Int64("born", u.StartedAt),
 		zap.Bool("ended", ended), zap.Bool("planned", planned), zap.String("way", j.sentAs), zap.Int("events", j.events), zap.Bool("trial", j.trial != 0), zap.Stringers("parts", j.parts()))
-	if !ended || planned {
+	if planned {
+		return
+	}
+	if !ended {
+		if j.trial != 0 && !j.sound {
+			d.Suspects.RecordUnresolved(c, string(u.ID), j.parts())
+		}
 		return
 	}
 	parts := j.parts()
--- a/protocol/dispatch/crash_test.go
+++ b/protocol/dispatch/crash_test.go
@@ -59,6 +59,19 @@
 	}
 }
 
+// A suspected request breaks off on trial, and nobody sees that its upstream has ended: it has fallen silent, or
+// is back. It is tried once more, and not again then.
+func TestTrialsThatBreakOffAreBounded(t *testing.T) {
+	b := newCrashHarness(12)
+	b.ended, b.respond = false, crashes
+	for range 5 {
+		_, _ = b.serve("/chat/x")
+	}
+	if s, _ := b.suspects.Status(crashingParts); s != suspicion.Blocked || len(b.sends) != 2 {
+		t.Errorf("the request is %v after %d sends, want blocked after 2", s, len(b.sends))
+	}
+}
+
 // The fleet reaches a verdict while a request with these parts runs. Neither its retry nor its
 // resumption is sent.
 func TestRetriesAndResumedStreamsAreChecked(t *testing.T) {
--- a/state/suspicion/fleet_test.go
+++ b/state/suspicion/fleet_test.go
@@ -244,7 +244,9 @@
 			continue
 		}
 		if f.unseen > 0 && f.Random.Float64() < f.unseen {
-			f.At(&s.node.Node, f.Between(1, 10), func() { f.endTrial(s) })
+			if s.trial != 0 {
+				f.At(&s.node.Node, f.Between(1, 10), func() { f.recordCrash(suspicion.NewUnresolved(e.name, f.Now), s) })
+			}
 			continue
 		}
 		f.At(&s.node.Node, f.Between(1, 10), func() { f.recordCrash(x, s) })
@@ -264,7 +266,7 @@
 		return
 	}
 	f.At(&n.Node, 100*time.Millisecond, func() {
-		if v, ok := n.ledger.Decide(x, parts(s.names...), f.Now); ok {
+		if v, ok := n.ledger.Decide(x, parts(s.names...), 0, f.Now); ok {
 			f.announce(n, func(o *node) { o.ledger.Merge(v, f.Now) })
 			if !n.Cut {
 				f.stored = append(f.stored, v)
--- a/state/suspicion/ledger.go
+++ b/state/suspicion/ledger.go
@@ -27,6 +27,15 @@
 	StartedAt int64
 }
 
+// NewUnresolved returns what stands for the crash of an upstream if a request on trial broke off there, for a
+// reason that is not known.
+func NewUnresolved(upstream string, at time.Duration) Crash {
+	return Crash{Upstream: upstream, StartedAt: -at.Milliseconds()}
+}
+
+// IsUnresolved reports whether a trial broke off and the upstream may not have crashed.
+func (c Crash) IsUnresolved() bool { return c.StartedAt < 0 }
+
 // Evidence is a crash with the parts of requests that had no answer from the upstream yet.
 type Evidence struct {
 	Crash
@@ -283,14 +292,21 @@
 // upstream crashed. It blocks requests with all suspected parts of that one: a sound part beside the
 // cause may stand in more crashes than the cause, and is removed once an upstream has answered it.
 //
-// It returns false if the request may be sound: a part of another request on that upstream has as many
-// crashes as any part of this one, or verdicts explain most of the crashes.
-func (l *Ledger) Decide(x Crash, parts []Part, now time.Duration) (Verdict, bool) {
+// It returns false if the request may be sound: a part of another request on that upstream has nearly as
+// many crashes, or verdicts explain most of the crashes. One unresolved trial is not enough.
+//
+// The part whole stands for the request itself. It is left out if another part has more crashes: other
+// requests crash upstreams, too, and this one has only been repeated.
+func (l *Ledger) Decide(x Crash, parts []Part, whole Part, now time.Duration) (Verdict, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	k, ok := l.crashes[x]
 	worst, most := l.worst(parts)
-	if !ok || !k.parts[worst] || most <= l.suspectAfter || l.unexplained(worst) < l.suspectAfter {
+	needed := l.suspectAfter + 1
+	if x.IsUnresolved() {
+		needed++
+	}
+	if !ok || !k.parts[worst] || most < needed || l.unexplained(worst) < l.suspectAfter {
 		return Verdict{}, false
 	}
 	for p, suspect := range k.parts {
@@ -300,7 +316,7 @@
 	}
 	v := Verdict{VerdictID: VerdictID{Crash: x, Lead: worst}}
 	for _, p := range parts {
-		if l.counts[p] >= l.suspectAfter {
+		if n := l.counts[p]; n == most || n >= l.suspectAfter && p != whole {
 			v.Parts = append(v.Parts, p)
 		}
 	}
--- a/state/suspicion/ledger_test.go
+++ b/state/suspicion/ledger_test.go
@@ -69,7 +69,7 @@
 	for n := range 3 {
 		add(l, n, 1, parts("rare", "dead"))
 	}
-	v, ok := l.Decide(crash(2), parts("rare", "dead"), 2)
+	v, ok := l.Decide(crash(2), parts("rare", "dead"), 0, 2)
 	if !ok || len(v.Parts) != 2 {
 		t.Fatalf("verdict %v, %v; want one of both parts", v, ok)
 	}
@@ -90,10 +90,10 @@
 	add(l, 2, 1, parts("sound"))
 	add(l, 3, 1, parts("sound"))
 	add(l, 4, 1, parts("sound"), parts("dead"))
-	if v, ok := l.Decide(crash(4), parts("sound"), 2); ok {
+	if v, ok := l.Decide(crash(4), parts("sound"), 0, 2); ok {
 		t.Errorf("verdict %v on the request that another one explains", v)
 	}
-	if _, ok := l.Decide(crash(4), parts("dead"), 2); !ok {
+	if _, ok := l.Decide(crash(4), parts("dead"), 0, 2); !ok {
 		t.Error("no verdict on the cause")
 	}
 	expect(t, l, 3, suspicion.Clean, "sound")
@@ -106,19 +106,31 @@
 	for n := range 3 {
 		add(l, n, 1, parts("rare", "dead"))
 	}
-	if _, ok := l.Decide(crash(2), parts("rare", "dead"), 2); !ok {
+	if _, ok := l.Decide(crash(2), parts("rare", "dead"), 0, 2); !ok {
 		t.Fatal("no verdict")
 	}
 	add(l, 3, 3, parts("rare"))
-	if v, ok := l.Decide(crash(3), parts("rare"), 4); ok {
+	if v, ok := l.Decide(crash(3), parts("rare"), 0, 4); ok {
 		t.Errorf("verdict %v after one crash that nothing explains", v)
 	}
 	add(l, 4, 5, parts("rare"))
-	if _, ok := l.Decide(crash(4), parts("rare"), 6); !ok {
+	if _, ok := l.Decide(crash(4), parts("rare"), 0, 6); !ok {
 		t.Error("no verdict after two such crashes")
 	}
 }
 
+// A request with the cause has been repeated as it was. The verdict is not on that request alone.
+func TestRepeatedRequestIsNotBlockedAlone(t *testing.T) {
+	l := suspicion.NewLedger(suspectAfter)
+	add(l, 0, 1, parts("dead", "request 1"))
+	add(l, 1, 1, parts("dead", "request 2"))
+	add(l, 2, 1, parts("dead", "request 2"))
+	if _, ok := l.Decide(crash(2), parts("dead", "request 2"), part("request 2"), 2); !ok {
+		t.Fatal("no verdict")
+	}
+	expect(t, l, 3, suspicion.Blocked, "dead", "request 3")
+}
+
 // Two parts crash upstreams, and both come beside the same sound part, which has more crashes than each.
 func TestPartBesideTwoCausesIsNotBlockedAlone(t *testing.T) {
 	l := suspicion.NewLedger(suspectAfter)
@@ -127,7 +139,7 @@
 		add(l, n+2, 1, parts("rare", "deadly"))
 	}
 	add(l, 4, 2, parts("rare", "dead"))
-	if _, ok := l.Decide(crash(4), parts("rare", "dead"), 3); !ok {
+	if _, ok := l.Decide(crash(4), parts("rare", "dead"), 0, 3); !ok {
 		t.Fatal("no verdict")
 	}
 	expect(t, l, 4, suspicion.Blocked, "rare", "dead")
@@ -141,7 +153,7 @@
 	for n := range 3 {
 		add(l, n, 1, parts("sound"))
 	}
-	v, ok := l.Decide(crash(2), parts("sound"), 2)
+	v, ok := l.Decide(crash(2), parts("sound"), 0, 2)
 	if !ok {
 		t.Fatal("no verdict")
 	}
@@ -180,7 +192,7 @@
 	for n := range 3 {
 		add(l, n, 0, parts("dead"))
 	}
-	if _, ok := l.Decide(crash(2), parts("dead"), 0); !ok {
+	if _, ok := l.Decide(crash(2), parts("dead"), 0, 0); !ok {
 		t.Fatal("no verdict")
 	}
 	return l
