dispatch: only the rest of a stream follows its begin

Cause: a response with status 200 and another type was forwarded as a whole one, behind the events that the caller had; the events of a resumed stream were not compared with them, and an empty rest was believed though the last upstream had begun an event.

The rest must be an event stream whose first id follows the last one, by one if ids were consecutive so far. An empty rest is whole only if no event had been begun. Anything else is a failure of that upstream, after which another one is asked, or the stream is cut.

Ruled out: other statuses and cut heads were cut before. The interface of our own sends nothing more to another engine once it has forwarded an event.

--- a/protocol/dispatch/admit.go
+++ b/protocol/dispatch/admit.go
@@ -37,7 +37,7 @@
 	if !ok {
 		return nil, refusal.New(refusal.RouteUnknown, http.StatusNotFound, "no route leads to %s", q.Path)
 	}
-	j := &job{Request: q, configuration: t.Version, route: r, tokens: q.PromptTokens + q.OutputTokens, avoid: map[pool.ID]bool{}, sentTo: map[pool.ID]bool{}, lastEvent: q.ResumeAfter}
+	j := &job{Request: q, configuration: t.Version, route: r, tokens: q.PromptTokens + q.OutputTokens, avoid: map[pool.ID]bool{}, sentTo: map[pool.ID]bool{}, sequence: sequence{last: q.ResumeAfter}}
 	if q.Timeout <= 0 {
 		q.Timeout = defaultTimeout
 	}
--- a/protocol/dispatch/attempt.go
+++ b/protocol/dispatch/attempt.go
@@ -166,7 +166,7 @@
 	d.recordBegin(j, false)
 	q := UpstreamRequest{
 		Request: j.Request, Upstream: j.choice.Upstream, Version: j.choice.Version, Remaining: j.deadline - sent,
-		Urgency: d.urgency(j), ResumeAfter: j.lastEvent, AtMostOnce: !j.route.Repeatable() || j.sentTo[id] || j.permitted && d.Pool.Limit(id).Rate > 0,
+		Urgency: d.urgency(j), ResumeAfter: j.sequence.last, AtMostOnce: !j.route.Repeatable() || j.sentTo[id] || j.permitted && d.Pool.Limit(id).Rate > 0,
 	}
 	j.sentTo[id] = true
 	if j.workspace != nil {
--- a/protocol/dispatch/dispatch.go
+++ b/protocol/dispatch/dispatch.go
@@ -217,8 +217,9 @@
 	// adapter.
 	misdirects int
 	// started is set once a part of a response has been sent to the caller.
-	started   bool
-	lastEvent string
+	started bool
+	// sequence has the events that the caller has received, in this and in earlier responses.
+	sequence sequence
 	// stream and slot identify the stream that the request begins or takes up, if the route's streams
 	// can go on elsewhere. software is the version at which it began, or empty as long as it has not.
 	stream   software.StreamID
@@ -338,7 +339,7 @@
 	}
 	d.Metrics.countRefusal(r.Code)
 	if errors.Is(err, ErrTruncated) {
-		d.Log.Info("cut", append(f, zap.String("last-event", j.lastEvent))...)
+		d.Log.Info("cut", append(f, zap.String("last-event", j.sequence.last))...)
 		return
 	}
 	d.Log.Info("refused", f...)
--- a/protocol/dispatch/forward.go
+++ b/protocol/dispatch/forward.go
@@ -4,9 +4,9 @@
 	"bytes"
 	"context"
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
-	"strings"
 
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
@@ -28,12 +28,30 @@
 // forward forwards a response to the caller. It calls first when the first part has
 // arrived; first returns false if the send was cancelled before.
 func (d *Dispatcher) forward(c context.Context, w http.ResponseWriter, j *job, a *Response, first func() bool) error {
-	if j.route.Kind == route.Stream && a.Status == http.StatusOK && strings.HasPrefix(a.Header.Get("Content-Type"), "text/event-stream") {
+	if j.route.Kind == route.Stream && a.Status == http.StatusOK && isEventStream(a) {
 		return d.forwardStream(c, w, j, a, first)
 	}
+	if j.started {
+		return d.rejectRest(j, "a response that is no event stream")
+	}
 	return d.forwardBuffered(c, w, j, a, first)
 }
 
+// isEventStream reports whether the body of a response is a series of events.
+func isEventStream(a *Response) bool {
+	t, _, err := mime.ParseMediaType(a.Header.Get("Content-Type"))
+	return err == nil && t == "text/event-stream"
+}
+
+// rejectRest drops the response of an upstream that was asked for the rest of a stream, since it is something
+// else. Another upstream may have the rest.
+func (d *Dispatcher) rejectRest(j *job, what string) error {
+	j.avoid[j.choice.ID] = true
+	d.Pool.RecordOutcome(j.choice.ID, pool.Failed, d.Timer.Boot())
+	d.Log.Warn("upstream did not resume the stream", zap.String("request", j.ID), zap.String("upstream", string(j.choice.ID)), zap.String("last-event", j.sequence.last), zap.String("got", what))
+	return eris.Wrapf(errTryAnother, "upstream did not resume the stream: %s", what)
+}
+
 // forwardBuffered buffers a response until it is complete, so that the caller never
 // receives a truncated one.
 func (d *Dispatcher) forwardBuffered(c context.Context, w http.ResponseWriter, j *job, a *Response, first func() bool) error {
@@ -72,7 +90,7 @@
 	d.Pool.RecordOutcome(j.choice.ID, pool.Failed, d.Timer.Boot())
 	j.avoid[j.choice.ID] = true
 	d.recordBreak(c, j)
-	d.Log.Info("answer cut", zap.String("request", j.ID), zap.String("upstream", string(j.choice.ID)), zap.String("last-event", j.lastEvent), zap.Error(err))
+	d.Log.Info("answer cut", zap.String("request", j.ID), zap.String("upstream", string(j.choice.ID)), zap.String("last-event", j.sequence.last), zap.Error(err))
 	return eris.Wrap(errTryAnother, "upstream truncated its response")
 }
 
@@ -81,12 +99,20 @@
 	var pending []byte
 	buf := make([]byte, readBufferBytes)
 	flush := http.NewResponseController(w)
-	seen := false
+	resumes, seen := j.sequence.last != "", false
 	for {
 		n, err := a.Body.Read(buf)
 		pending = append(pending, buf[:n]...)
-		if complete := completeEvents(pending); complete > 0 {
+		complete := completeEvents(pending)
+		events := pending[:complete]
+		if resumes && !seen {
+			events = withoutPadding(events)
+		}
+		if len(events) > 0 {
 			if !seen {
+				if !j.sequence.continuedBy(events) {
+					return d.rejectRest(j, "events that do not follow the last one")
+				}
 				seen = true
 				if !first() {
 					return d.handleTruncation(c, j, err)
@@ -94,20 +120,23 @@
 				d.recordContinued(j)
 				d.recordBegin(j, true)
 			}
-			if j.events += countEvents(pending[:complete]); j.events >= soundEvents {
+			if j.events += countEvents(events); j.events >= soundEvents {
 				d.recordSound(c, j)
 			}
-			if x := d.forwardEvents(w, flush, j, a, pending[:complete]); x != nil {
+			if x := d.forwardEvents(w, flush, j, a, events); x != nil {
 				return x
 			}
-			pending = append(pending[:0], pending[complete:]...)
 		}
+		pending = append(pending[:0], pending[complete:]...)
 		switch {
 		case len(pending) > maxEventBytes:
 			return d.handleTruncation(c, j, eris.Wrapf(relay.ErrResponseTooLarge, "an event of over %d bytes", maxEventBytes))
 		case err == nil:
 		case err != io.EOF || len(pending) > 0 || !j.started:
+			j.sequence.cutInside = j.sequence.cutInside || len(pending) > 0
 			return d.handleTruncation(c, j, err)
+		case !seen && j.sequence.cutInside:
+			return d.rejectRest(j, "no event, though the last upstream had begun one")
 		default:
 			return nil
 		}
@@ -120,9 +149,7 @@
 		w.WriteHeader(a.Status)
 		j.started = true
 	}
-	if id, ok := lastEventID(events); ok {
-		j.lastEvent = id
-	}
+	j.sequence.add(events)
 	if _, err := w.Write(events); err != nil {
 		return eris.Wrap(ErrTruncated, err.Error())
 	}
@@ -148,14 +175,3 @@
 func countEvents(b []byte) int {
 	return bytes.Count(b, []byte("\n\n")) + bytes.Count(b, []byte("\r\n\r\n"))
 }
-
-// lastEventID returns the id of the last event in b that has one.
-func lastEventID(b []byte) (string, bool) {
-	lines := strings.Split(string(b), "\n")
-	for i := len(lines) - 1; i >= 0; i-- {
-		if v, ok := strings.CutPrefix(lines[i], "id:"); ok {
-			return strings.TrimSpace(v), true
-		}
-	}
-	return "", false
-}
--- a/protocol/dispatch/software.go
+++ b/protocol/dispatch/software.go
@@ -117,11 +117,11 @@
 // recordContinued logs and counts a stream that goes on, with the software versions of its begin and of
 // the upstream.
 func (d *Dispatcher) recordContinued(j *job) {
-	if j.lastEvent == "" {
+	if j.sequence.last == "" {
 		return
 	}
 	u := j.choice.Upstream
 	d.Metrics.countContinued(j.sentAs)
-	d.Log.Info("stream goes on", zap.String("request", j.ID), zap.String("resumes", j.Resumes), zap.String("way", j.sentAs), zap.String("last-event", j.lastEvent),
+	d.Log.Info("stream goes on", zap.String("request", j.ID), zap.String("resumes", j.Resumes), zap.String("way", j.sentAs), zap.String("last-event", j.sequence.last),
 		zap.String("begun-software", string(j.software)), zap.String("upstream", string(u.ID)), zap.Int64("born", u.StartedAt), zap.String("software", string(u.Software)))
 }
--- a/transport/relay/relay_test.go
+++ b/transport/relay/relay_test.go
@@ -128,6 +128,56 @@
 	}
 }
 
+// startCuttingServer starts a server that writes the first cut bytes of a response to each request and closes
+// the connection.
+func startCuttingServer(t *testing.T, response string) (address string, cut *atomic.Int64) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	cut = &atomic.Int64{}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					fmt.Fprint(c, response[:cut.Load()])
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), cut
+}
+
+// A response breaks off after any number of its bytes. Neither a cut head nor a cut body of a stated length is
+// a response.
+func TestResponseThatEndsEarlyIsNoResponse(t *testing.T) {
+	const whole = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nX-Request-Id: 1\r\nContent-Length: 4\r\n\r\nbody"
+	address, cut := startCuttingServer(t, whole)
+	r := relay.New()
+	for name, send := range map[string]func(context.Context, relay.Request) (*http.Response, error){"send": r.Send, "send once": r.SendOnce} {
+		for n := range len(whole) + 1 {
+			cut.Store(int64(n))
+			a, err := send(t.Context(), bookRequest(address))
+			if err == nil {
+				_, err = relay.ReadAll(a.Body, 100)
+				_ = a.Body.Close()
+			}
+			if (err == nil) != (n == len(whole)) {
+				t.Errorf("%s: error %v after %d bytes of %d", name, err, n, len(whole))
+			}
+			if errors.Is(err, relay.ErrNotSent) {
+				t.Errorf("%s: after %d bytes the request counts as not sent", name, n)
+			}
+		}
+	}
+}
+
 func ExampleForwardHeader() {
 	h := http.Header{}
 	h.Set("Authorization", "Bearer secret")
