streams: no stream deviates while records cannot be written

Cause: whether the store can be reached was asked of the feed of upstreams, whose call waits for up to 30 s, and which most instances do not make. The writes themselves tell now: the last one must not have failed, and none may take longer than 0.1 s.

TestStreamsDoNotDeviateWhileRecordsCannotBeWritten and TestStreamsDoNotDeviateWhileARecordIsBeingWritten failed before.

--- a/coordination/streams/record.go
+++ b/coordination/streams/record.go
@@ -32,8 +32,37 @@
 	readPerPeer  = time.Millisecond
 	// recordLifetime is the age of a row of records from which on any instance removes it.
 	recordLifetime = 2 * time.Minute
+	// slowWrite is the time after which a write of records is taken to fail. Most take some 10 ms.
+	slowWrite = 100 * time.Millisecond
 )
 
+// recordWrites tells whether the records of an instance can be written. It is safe for concurrent use.
+type recordWrites struct {
+	mu sync.Mutex
+	// since is the start of the write in progress, or 0. failing is set if the last one has failed.
+	since   time.Duration
+	failing bool
+}
+
+func (w *recordWrites) begin(now time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.since = now
+}
+
+func (w *recordWrites) end(err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.since, w.failing = 0, err != nil
+}
+
+// work reports whether records that are to be written now are likely to be soon.
+func (w *recordWrites) work(now time.Duration) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.failing && (w.since == 0 || now-w.since < slowWrite)
+}
+
 // recordRow is the row of the streams that one instance has begun. Each stream is its ID in
 // hexadecimal and the index of its version.
 type recordRow struct {
@@ -168,13 +197,17 @@
 			return
 		}
 		list := r.unplanned()
+		var err error
 		if hasNew(list, written) {
-			if err := r.writeRow(c, list); err != nil {
-				r.Log.Warn("could not write records of streams", zap.Int("streams", len(list)), zap.Error(err))
-				notify(r.changed)
-			} else {
-				written = list
-			}
+			r.writes.begin(r.Timer.Boot())
+			err = r.writeRow(c, list)
+		}
+		r.writes.end(err)
+		if err != nil {
+			r.Log.Warn("could not write records of streams", zap.Int("streams", len(list)), zap.Error(err))
+			notify(r.changed)
+		} else {
+			written = list
 		}
 		_ = r.Timer.Wait(c, urgentInterval)
 		n, stop := r.Timer.Notify(max(recordInterval, recordPerPeer*time.Duration(r.PeerCount())) - urgentInterval)
--- a/coordination/streams/streams.go
+++ b/coordination/streams/streams.go
@@ -90,6 +90,7 @@
 	storeAhead     time.Duration
 	storeTimeKnown bool
 	records        records
+	writes         recordWrites
 	// changed has an element while the records may have to be written, urgent while that must not wait.
 	changed, urgent chan struct{}
 }
@@ -193,11 +194,13 @@
 
 // MayDeviate reports whether a stream may begin at another version than the planned one: several serve, and
 // that can be recorded in the store.
+//
+// Load pattern: the store falls silent while engines of the planned version have no room.
 func (r *Registry) MayDeviate(s route.ServiceName) bool {
 	r.mu.Lock()
 	several := r.split(s).several
 	r.mu.Unlock()
-	return several && r.StoreReachable()
+	return several && r.StoreReachable() && r.writes.work(r.Timer.Boot())
 }
 
 // Begin records that a stream begins, or is about to begin.
