streams, entry: the instances are asked for streams while their records cannot be read

Cause: records that could not be read counted as none. The instance that began a stream has it in its memory, so that the others are asked now, in one round at a time for all streams. If the store cannot be read and one instance that may have begun the stream does not answer, or has just started, the version is unknown, and the request is refused at once. No take-up waits for a store any more whose last read has failed.

TestUnreadableRecordsAreNotTakenForNone failed before.

--- a/coordination/streams/outage_test.go
+++ b/coordination/streams/outage_test.go
@@ -1,7 +1,11 @@
 package streams_test
 
 import (
+	"context"
 	"errors"
+	"fmt"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -11,20 +15,23 @@
 )
 
 // fail has all calls of some kinds to the store fail.
-func (f *fleet) fail(calls ...string) {
-	f.store.InjectFault = func(call string) (bool, error) {
-		for _, x := range calls {
-			if x == call {
-				return false, errors.New("away")
-			}
-		}
-		return false, nil
+func (f *fleet) fail(calls ...string) { f.failing.Store(&calls) }
+
+func (f *fleet) injectFault(call string) (bool, error) {
+	if f.hanging.Load() {
+		<-f.hang
+		return false, errors.New("away")
 	}
+	if l := f.failing.Load(); l != nil && slices.Contains(*l, call) {
+		return false, errors.New("away")
+	}
+	return true, nil
 }
 
 // newMixedFleet returns two instances that know a settled split of two versions.
 func newMixedFleet(t *testing.T) (f *fleet, a, b *streams.Registry) {
 	f = newFleet()
+	f.store.InjectFault = f.injectFault
 	f.serving = map[software.Version]int{v1: 9, v2: 9}
 	a = f.add(t, "a")
 	a.Step(t.Context())
@@ -69,12 +76,8 @@
 // The store does not answer at all, so that the writes of records take long to fail.
 func TestStreamsDoNotDeviateWhileARecordIsBeingWritten(t *testing.T) {
 	f, a, _ := newMixedFleet(t)
-	hang := make(chan struct{})
-	t.Cleanup(func() { close(hang) })
-	f.store.InjectFault = func(string) (bool, error) {
-		<-hang
-		return false, errors.New("away")
-	}
+	t.Cleanup(func() { close(f.hang) })
+	f.hanging.Store(true)
 	a.Begin(deviating(a, "s"))
 	for end := time.Now().Add(timeout); a.MayDeviate(service); time.Sleep(10 * time.Millisecond) {
 		if time.Now().After(end) {
@@ -84,14 +87,78 @@
 }
 
 // The records cannot be read as a stream is taken up that has deviated. It is not taken to have begun as
-// planned.
+// planned: the instance that began it is asked, and if it or another one does not answer, the version is
+// unknown.
 func TestUnreadableRecordsAreNotTakenForNone(t *testing.T) {
 	f, a, b := newMixedFleet(t)
+	f.add(t, "c")
 	x := deviating(a, "s")
+	planned := stream("planned", v1)
+	planned.Version, _ = a.Planned(service, planned.Slot)
 	f.fail("transact", "read")
 	a.Begin(x)
-	if v, ok := find(t, b, x); ok && v != x.Version {
-		t.Errorf("found at %q, it began at %q", v, x.Version)
+	if v, ok := find(t, b, x); !ok || v != x.Version {
+		t.Errorf("found at %q, %v; it began at %q", v, ok, x.Version)
+	}
+	if v, ok := find(t, b, planned); !ok || v != planned.Version {
+		t.Errorf("a stream that nobody has seen to deviate is found at %q, %v", v, ok)
+	}
+	f.unreachable["a"] = true
+	if v, ok := find(t, b, x); ok {
+		t.Errorf("found at %q, though the instance that began it does not answer", v)
+	}
+	f.unreachable = map[string]bool{"c": true}
+	if v, ok := find(t, b, x); !ok || v != x.Version {
+		t.Errorf("found at %q, %v, though the instance that began it answers", v, ok)
+	}
+	if v, ok := find(t, b, planned); ok {
+		t.Errorf("a stream is found at %q, though one instance does not answer", v)
+	}
+	f.unreachable, f.uptime = map[string]bool{}, time.Second
+	if v, ok := find(t, b, planned); ok {
+		t.Errorf("a stream is found at %q, though an instance has just started", v)
+	}
+}
+
+// The store comes back after an outage. Records are read again.
+func TestRecordsAreReadAfterAnOutage(t *testing.T) {
+	f, a, b := newMixedFleet(t)
+	x := deviating(a, "s")
+	f.fail("read")
+	a.Begin(x)
+	f.unreachable["a"] = true
+	if v, ok := find(t, b, x); ok {
+		t.Errorf("found at %q", v)
+	}
+	f.fail()
+	eventuallyFound(t, b, x)
+}
+
+// Many streams are taken up at once while the store is away. Each instance is asked a few times for all of
+// them.
+func TestInquiriesAreShared(t *testing.T) {
+	f, a, b := newMixedFleet(t)
+	f.fail("transact", "read")
+	asked := 0
+	b.Ask = func(_ context.Context, ids []software.StreamID) streams.Answer {
+		asked++
+		time.Sleep(20 * time.Millisecond)
+		return f.ask("b", ids)
+	}
+	find(t, b, deviating(a, "first"))
+	var w sync.WaitGroup
+	for i := range 200 {
+		x := deviating(a, fmt.Sprint("s", i))
+		a.Begin(x)
+		w.Go(func() {
+			if v, ok := find(t, b, x); !ok || v != x.Version {
+				t.Errorf("%d: found at %q, %v; it began at %q", i, v, ok, x.Version)
+			}
+		})
+	}
+	w.Wait()
+	if asked > 10 {
+		t.Errorf("the other instances were asked %d times", asked)
 	}
 }
 
--- a/coordination/streams/record.go
+++ b/coordination/streams/record.go
@@ -30,6 +30,8 @@
 	// among them, readPerPeer the time for each other instance: callers may name any stream.
 	readInterval = 50 * time.Millisecond
 	readPerPeer  = time.Millisecond
+	// failedReadInterval is the time between two reads while they fail.
+	failedReadInterval = 500 * time.Millisecond
 	// recordLifetime is the age of a row of records from which on any instance removes it.
 	recordLifetime = 2 * time.Minute
 	// slowWrite is the time after which a write of records is taken to fail. Most take some 10 ms.
@@ -117,34 +119,55 @@
 	mu       sync.Mutex
 	versions map[software.StreamID]software.Version
 	readAt   time.Duration
+	// failed is set if the last read has failed, retrying while another one is in progress then.
+	failed, retrying bool
 }
 
 func newRecords() records { return records{versions: map[software.StreamID]software.Version{}} }
 
-// findRecord returns the recorded version of a stream. Calls at the same time share one read.
-func (r *Registry) findRecord(c context.Context, id software.StreamID) (software.Version, bool) {
+// findRecord returns the recorded version of a stream. Calls at the same time share one read. The result
+// complete is false if the records could not be read; after that, no call waits for the store until a read has
+// succeeded.
+func (r *Registry) findRecord(c context.Context, id software.StreamID) (v software.Version, found, complete bool) {
 	k := &r.records
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if v, ok := k.versions[id]; ok {
-		return v, true
+		return v, true, true
 	}
-	if now := r.Timer.Boot(); k.readAt == 0 || now-k.readAt >= max(readInterval, readPerPeer*time.Duration(r.PeerCount())) {
-		r.readRecords(c)
+	age := r.Timer.Boot() - k.readAt
+	switch {
+	case k.failed && !k.retrying && age >= failedReadInterval:
+		k.retrying = true
+		go r.retryRead(context.WithoutCancel(c))
+	case !k.failed && (k.readAt == 0 || age >= max(readInterval, readPerPeer*time.Duration(r.PeerCount()))):
+		r.applyRecords(r.readRecords(c))
 	}
-	v, ok := k.versions[id]
-	return v, ok
+	v, found = k.versions[id]
+	return v, found, !k.failed
 }
 
-// readRecords replaces the known records by those in the store, and removes the rows of instances that
-// have not written for long.
-func (r *Registry) readRecords(c context.Context) {
+func (r *Registry) retryRead(c context.Context) {
+	rows, err := r.readRecords(c)
+	r.records.mu.Lock()
+	defer r.records.mu.Unlock()
+	r.records.retrying = false
+	r.applyRecords(rows, err)
+}
+
+func (r *Registry) readRecords(c context.Context) ([]mirror.Row, error) {
 	x, cancel := context.WithTimeout(c, callTimeout)
 	defer cancel()
 	rows, _, err := r.Store.Read(x, r.RecordTable)
-	r.records.readAt = r.Timer.Boot()
+	return rows, err
+}
+
+// applyRecords replaces the known records by those that were read, and removes the rows of instances that
+// have not written for long.
+func (r *Registry) applyRecords(rows []mirror.Row, err error) {
+	r.records.readAt, r.records.failed = r.Timer.Boot(), err != nil
 	if err != nil {
-		r.Log.Warn("could not read the records of streams; the known ones are used", zap.Error(err))
+		r.Log.Warn("could not read the records of streams", zap.Error(err))
 		return
 	}
 	r.records.versions = map[software.StreamID]software.Version{}
@@ -158,7 +181,7 @@
 			continue
 		}
 		if row.Key != r.key && now-time.Duration(m.WrittenMs)*time.Millisecond > recordLifetime {
-			r.removeRecords(x, row.Key, row.Version)
+			go r.removeRecords(row.Key, row.Version)
 		}
 	}
 }
@@ -178,7 +201,9 @@
 	return m, nil
 }
 
-func (r *Registry) removeRecords(c context.Context, key string, version mirror.Version) {
+func (r *Registry) removeRecords(key string, version mirror.Version) {
+	c, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
 	k := store.Key{Table: r.RecordTable, Key: key}
 	if _, err := r.Store.Transact(c, store.Transaction{Expected: map[store.Key]mirror.Version{k: version}, Deletes: []store.Key{k}}); err != nil {
 		r.Log.Warn("could not remove records of streams", zap.String("key", key), zap.Error(err))
--- a/coordination/streams/streams.go
+++ b/coordination/streams/streams.go
@@ -2,7 +2,8 @@
 //
 // A row of the store for each service assigns its streams to the software versions of its upstreams
 // (software.Split), so that the version follows from the request itself. Streams that began otherwise,
-// or whose assignment has changed lately, are written to a row of the instance that began them.
+// or whose assignment has changed lately, are written to a row of the instance that began them. While the
+// store cannot be read, the instances are asked instead.
 package streams
 
 import (
@@ -56,6 +57,8 @@
 	SplitAge func() time.Duration
 	// PeerCount returns the number of other instances.
 	PeerCount func() int
+	// Ask asks all other instances for streams.
+	Ask func(c context.Context, ids []software.StreamID) Answer
 	// StoreReachable reports whether calls to the store have succeeded lately.
 	StoreReachable func() bool
 	// FleetTable is the table of splits, which all instances watch. RecordTable is the one of records.
@@ -91,6 +94,7 @@
 	storeTimeKnown bool
 	records        records
 	writes         recordWrites
+	inquiry        inquiry
 	// changed has an element while the records may have to be written, urgent while that must not wait.
 	changed, urgent chan struct{}
 }
@@ -251,8 +255,9 @@
 	return !ok || v != x.Version || x.Stale && !s.Single(now, settle)
 }
 
-// Find returns the version at which a stream began, and false if that is not known. It reads the
-// records of all instances if the split does not decide.
+// Find returns the version at which a stream began, and false if that is not known. If the split does not
+// decide, it reads the records of all instances, or asks these if the store cannot be reached: a stream that
+// has no record there may have one that cannot be read.
 func (r *Registry) Find(c context.Context, s route.ServiceName, x software.Slot, id software.StreamID) (software.Version, bool) {
 	r.mu.Lock()
 	own, ok := r.begun.Get(id)
@@ -264,10 +269,18 @@
 	if known.Single(now, settle) {
 		return known[x].Version, true
 	}
-	if v, ok := r.findRecord(c, id); ok {
+	v, found, complete := r.findRecord(c, id)
+	if !found && !complete {
+		v, found, complete = r.inquire(c, id)
+	}
+	switch {
+	case found:
 		return v, true
+	case !complete:
+		return "", false
+	default:
+		return known.Begun(x, now, settle)
 	}
-	return known.Begun(x, now, settle)
 }
 
 // Run writes records and splits until c ends.
--- a/coordination/streams/streams_test.go
+++ b/coordination/streams/streams_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -33,10 +35,19 @@
 	lifetime time.Duration
 	// age is the age of the splits.
 	age time.Duration
+	// registries are the instances by name, and unreachable those that do not answer others.
+	registries  map[string]*streams.Registry
+	unreachable map[string]bool
+	// uptime is that of all instances.
+	uptime time.Duration
+	// failing are the kinds of calls to the store that fail. While hanging is set, all wait for hang to close.
+	failing atomic.Pointer[[]string]
+	hanging atomic.Bool
+	hang    chan struct{}
 }
 
 func newFleet() *fleet {
-	return &fleet{store: memory.New(), clock: timer.New(), lifetime: time.Minute}
+	return &fleet{store: memory.New(), clock: timer.New(), lifetime: time.Minute, registries: map[string]*streams.Registry{}, unreachable: map[string]bool{}, uptime: time.Hour, hang: make(chan struct{})}
 }
 
 func (f *fleet) add(t *testing.T, name string) *streams.Registry {
@@ -48,13 +59,32 @@
 		Serving: func(route.ServiceName) map[software.Version]int { return f.serving },
 		Ready:   func() bool { return false }, Responsible: func() bool { return true }, PeerCount: func() int { return 1 },
 		StoreReachable: func() bool { return true }, SplitAge: func() time.Duration { return f.age },
+		Ask: func(_ context.Context, ids []software.StreamID) streams.Answer { return f.ask(name, ids) },
 	})
+	f.registries[name] = r
 	r.ObserveStoreTime(time.Hour)
 	f.read(t, r)
 	go r.Run(t.Context())
 	return r
 }
 
+// ask asks all instances but the named one for streams.
+func (f *fleet) ask(name string, ids []software.StreamID) streams.Answer {
+	all := streams.Answer{Versions: map[software.StreamID]software.Version{}, Complete: true}
+	for other, r := range f.registries {
+		switch {
+		case other == name:
+		case f.unreachable[other]:
+			all.Complete = false
+		default:
+			a := r.Answer(ids, f.uptime)
+			all.Complete = all.Complete && a.Complete
+			maps.Copy(all.Versions, a.Versions)
+		}
+	}
+	return all
+}
+
 // read has a registry read the fleet table, as a feed does.
 func (f *fleet) read(t *testing.T, r *streams.Registry) {
 	rows, _, err := f.store.Client().Read(t.Context(), "fleet")
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net/netip"
 	"strings"
 	"sync"
@@ -74,6 +75,13 @@
 	m.known[name] = x
 }
 
+// all returns the other instances by name.
+func (m *members) all() map[string]member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return maps.Clone(m.known)
+}
+
 // count returns the number of other instances.
 func (m *members) count() int {
 	m.mu.Lock()
