streams: an instance out of step does not answer by its old split

Cause: a split of a single version was taken to hold, however old it was. An instance that has not known its split to be the newest for 2.5 s reads the splits from the store before it answers, and does not know if it cannot. From 1 s on, a single version is no longer the answer without a look at the records, since streams begin elsewhere at once when the last upstreams of a version leave.

TestInstanceOutOfStepDoesNotAnswerByItsOldSplit failed before.

--- a/coordination/streams/outage_test.go
+++ b/coordination/streams/outage_test.go
@@ -163,27 +163,35 @@
 }
 
 // An instance has stood still or has been cut off, while others have begun streams by a split that it does
-// not know. It takes no stream to have begun by the one that it knows.
+// not know. It takes no stream to have begun by the one that it knows: it reads the splits, or does not know.
 func TestInstanceOutOfStepDoesNotAnswerByItsOldSplit(t *testing.T) {
-	f := newFleet()
-	f.lifetime = 100 * time.Millisecond
-	f.serving = map[software.Version]int{v1: 9}
-	a := f.add(t, "a")
-	a.Step(t.Context())
-	b := f.add(t, "b")
-	f.serving = map[software.Version]int{v1: 1, v2: 9}
-	time.Sleep(1100 * time.Millisecond)
-	a.Step(t.Context())
-	a.ObserveStoreTime(2 * time.Hour)
-	b.ObserveStoreTime(2 * time.Hour)
-	f.age = 5 * time.Second
-	for i := range software.Slot(64) {
-		x := software.Stream{ID: software.StreamID(i), Service: string(service), Slot: i}
-		x.Version, _ = a.Planned(service, i)
-		a.Begin(x)
-		if v, ok := b.Find(t.Context(), service, i, x.ID); ok && v != x.Version {
-			t.Fatalf("slot %d: found at %q, it began at %q", i, v, x.Version)
-		}
+	for name, reachable := range map[string]bool{"stood still": true, "cut off": false} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet()
+			f.store.InjectFault = f.injectFault
+			f.lifetime = 100 * time.Millisecond
+			f.serving = map[software.Version]int{v1: 9}
+			a := f.add(t, "a")
+			a.Step(t.Context())
+			b := f.add(t, "b")
+			f.serving = map[software.Version]int{v1: 1, v2: 9}
+			time.Sleep(1100 * time.Millisecond)
+			a.Step(t.Context())
+			a.ObserveStoreTime(2 * time.Hour)
+			b.ObserveStoreTime(2 * time.Hour)
+			f.age = 5 * time.Second
+			if !reachable {
+				f.fail("read")
+			}
+			for i := range software.Slot(64) {
+				x := software.Stream{ID: software.StreamID(i), Service: string(service), Slot: i}
+				x.Version, _ = a.Planned(service, i)
+				v, ok := b.Find(t.Context(), service, i, x.ID)
+				if ok && v != x.Version || ok != reachable {
+					t.Fatalf("slot %d: found at %q, %v; it began at %q", i, v, ok, x.Version)
+				}
+			}
+		})
 	}
 }
 
--- a/coordination/streams/streams.go
+++ b/coordination/streams/streams.go
@@ -25,11 +25,9 @@
 const (
 	// SplitPrefix is the prefix of the keys of splits in the fleet table.
 	SplitPrefix = "software."
-	// learnTime is the time within which all instances know a changed split. Instances that were
+	// learnTime is the time within which all instances use a changed split. Instances that were
 	// frozen learn it soon after, and record the streams that they began meanwhile.
 	learnTime = 3 * time.Second
-	// staleAfter is the age from which on a split may have been replaced. It is below learnTime.
-	staleAfter = 2500 * time.Millisecond
 	// maxRowLag is how long the row of an upstream may be that of the process before.
 	maxRowLag = 5 * time.Second
 	// splitInterval is the minimum time between two writes of the split of a service, substituteDelay
@@ -95,6 +93,11 @@
 	records        records
 	writes         recordWrites
 	inquiry        inquiry
+	// confirmedAt is when this instance last began to read the splits by itself, or 0.
+	confirmedAt time.Duration
+	// confirmMu is held during such a read. It guards confirmFailedAt, which is when the last one failed, or 0.
+	confirmMu       sync.Mutex
+	confirmFailedAt time.Duration
 	// changed has an element while the records may have to be written, urgent while that must not wait.
 	changed, urgent chan struct{}
 }
@@ -211,7 +214,7 @@
 func (r *Registry) Begin(x software.Stream) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	x.BegunAt, x.Stale = r.Timer.Boot(), r.SplitAge() > staleAfter
+	x.BegunAt, x.Stale = r.Timer.Boot(), r.splitAge() > software.MaxAge
 	s := route.ServiceName(x.Service)
 	old, known := r.begun.Get(x.ID)
 	r.begun.Add(x, x.BegunAt-r.settleTime(s))
@@ -255,32 +258,85 @@
 	return !ok || v != x.Version || x.Stale && !s.Single(now, settle)
 }
 
-// Find returns the version at which a stream began, and false if that is not known. If the split does not
-// decide, it reads the records of all instances, or asks these if the store cannot be reached: a stream that
+// Find returns the version at which a stream began, and false if that is not known: others may have begun it by
+// a newer split than this instance knows and can read. If the split does not decide, Find reads the records of all instances, or asks these if the store cannot be reached: a stream that
 // has no record there may have one that cannot be read.
 func (r *Registry) Find(c context.Context, s route.ServiceName, x software.Slot, id software.StreamID) (software.Version, bool) {
 	r.mu.Lock()
 	own, ok := r.begun.Get(id)
-	known, now, settle := r.split(s).Split, r.storeTime(), r.settleTime(s)
 	r.mu.Unlock()
 	if ok {
 		return own.Version, true
 	}
-	if known.Single(now, settle) {
-		return known[x].Version, true
+	k := r.knowledge(s)
+	if k == software.Stale && r.confirmSplits(c) {
+		k = r.knowledge(s)
 	}
-	v, found, complete := r.findRecord(c, id)
-	if !found && !complete {
-		v, found, complete = r.inquire(c, id)
-	}
-	switch {
-	case found:
-		return v, true
-	case !complete:
+	if k == software.Stale {
 		return "", false
-	default:
-		return known.Begun(x, now, settle)
 	}
+	if k == software.NeedsRecords {
+		v, found, complete := r.findRecord(c, id)
+		if !found && !complete {
+			v, found, complete = r.inquire(c, id)
+		}
+		if found || !complete {
+			return v, found
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.split(s).Begun(x, r.storeTime(), r.settleTime(s))
+}
+
+// knowledge returns what the split of a service tells of its streams now.
+func (r *Registry) knowledge(s route.ServiceName) software.Knowledge {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.split(s).Knowledge(r.splitAge(), r.storeTime(), r.settleTime(s))
+}
+
+// splitAge returns how long ago the splits were last known to be the newest, by what the instances tell each
+// other or by a read of this one.
+func (r *Registry) splitAge() time.Duration {
+	age := r.SplitAge()
+	if r.confirmedAt > 0 {
+		age = min(age, r.Timer.Boot()-r.confirmedAt)
+	}
+	return age
+}
+
+// confirmSplits reads the splits from the store, and reports whether they are known to be the newest. Calls at
+// the same time share one read.
+//
+// Load pattern: an instance that has stood still, or is the only one left, gets requests that take streams up.
+func (r *Registry) confirmSplits(c context.Context) bool {
+	r.confirmMu.Lock()
+	defer r.confirmMu.Unlock()
+	now := r.Timer.Boot()
+	r.mu.Lock()
+	age := r.splitAge()
+	r.mu.Unlock()
+	if age <= software.MaxAge {
+		return true
+	}
+	if r.confirmFailedAt > 0 && now-r.confirmFailedAt < failedReadInterval {
+		return false
+	}
+	x, cancel := context.WithTimeout(c, callTimeout)
+	defer cancel()
+	rows, _, err := r.Store.Read(x, r.FleetTable)
+	if err != nil {
+		r.confirmFailedAt = r.Timer.Boot()
+		r.Log.Warn("could not read the splits, which may have been replaced", zap.Duration("age", age), zap.Error(err))
+		return false
+	}
+	r.ApplyRows(rows)
+	r.mu.Lock()
+	r.confirmedAt, r.confirmFailedAt = now, 0
+	r.mu.Unlock()
+	r.Log.Info("splits read, as they may have been replaced", zap.Duration("age", age))
+	return true
 }
 
 // Run writes records and splits until c ends.
