store, feed, entry: feeds ask again once a silent store answers

Cause: a call that waits for changes as the store falls silent is never answered, also when the store answers others again. All readers wait then, for up to 11 s, and nobody else asks the store.

A reader that has heard nothing of the store for 2 s, while even the list of upstreams changes more often, calls it every 0.5 s. The first answer after such a silence ends all waits, which begin anew. Single lost answers change nothing.

Why tests missed it: the stand-in store answered each wait after 0.5 s.

--- a/coordination/feed/feed.go
+++ b/coordination/feed/feed.go
@@ -88,6 +88,8 @@
 			continue
 		case c.Err() != nil:
 			return
+		case errors.Is(err, errAskAgain):
+			continue
 		case errors.Is(err, store.ErrCompacted), errors.Is(err, store.ErrRestored):
 			f.log.Warn("changes since the version of the copy are not to be had; reading the whole table again", zap.Int64("has", int64(f.Mirror.Version())), zap.Error(err))
 			if rereads++; rereads > 1 {
@@ -143,24 +145,37 @@
 	return nil
 }
 
-// watch waits for changes after a version, until a newer era is known: the store may have passed
-// that version again, and would then answer only at the next change.
+// errAskAgain means that a wait for changes was ended because its call may be lost.
+var errAskAgain = eris.New("the store answers again after a silence")
+
+// watch waits for changes after a version, until a newer era is known or the store answers after a silence: it may
+// have passed that version again, or have lost the call, and would then answer only at the next change or never.
 func (f *Feed) watch(c context.Context, after mirror.Version) ([]mirror.Row, mirror.Version, error) {
 	x, cancel := context.WithCancel(c)
 	defer cancel()
-	changed := f.store.Eras.Changed(after.Era())
+	changed, outage := f.store.Eras.Changed(after.Era()), f.store.Outages.End()
 	go func() {
 		select {
 		case <-changed:
 			cancel()
+		case <-outage.Done:
+			cancel()
 		case <-x.Done():
 		}
 	}()
 	rows, v, err := f.store.Watch(x, f.Table, after)
-	if err != nil && c.Err() == nil && x.Err() != nil {
+	if err == nil || c.Err() != nil || x.Err() == nil {
+		return rows, v, err
+	}
+	select {
+	case <-changed:
 		return nil, 0, eris.Wrapf(store.ErrRestored, "the wait for changes after a version of era %d was ended", after.Era())
+	default:
+	}
+	if outage.Failed {
+		return nil, 0, eris.Wrap(store.ErrUnavailable, "calls have failed during the wait for changes")
 	}
-	return rows, v, err
+	return nil, 0, errAskAgain
 }
 
 // PeerSettlesIn returns the time during which a row that is missing from the rows of another
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -202,6 +202,7 @@
 
 // newFeeds creates the feeds that read the tables.
 func (e *Entry) newFeeds(log *zap.Logger) {
+	e.Store.Outages.Now = e.timer.Boot
 	for table, changed := range map[string]func(rows []mirror.Row, settlesIn time.Duration){
 		e.Tables.Configuration: e.onConfigurationRows,
 		e.Tables.Upstreams:     e.onUpstreamRows,
@@ -262,6 +263,7 @@
 	go e.streams.Run(c)
 	go e.paths.Run(c)
 	go e.timer.Subscribe(c, pingInterval, func(time.Time) { e.checkForwarders(c) })
+	go e.timer.Subscribe(c, probeInterval, func(time.Time) { e.probeStore(c) })
 	go e.timer.Subscribe(c, usage.Interval, func(time.Time) { e.sendReports() })
 	go e.timer.Subscribe(c, housekeepingInterval, func(time.Time) { e.housekeeping(c) })
 	e.register(c)
--- a/entry/freshness.go
+++ b/entry/freshness.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -10,6 +11,7 @@
 	"gentiangauge.example/gentiangauge/state/freshness"
 	"gentiangauge.example/gentiangauge/state/mirror"
 	"gentiangauge.example/gentiangauge/state/pool"
+	"gentiangauge.example/gentiangauge/transport/store"
 )
 
 // behindLogThreshold is how long newer rows may be missing before that is logged. They usually
@@ -85,6 +87,28 @@
 	return e.readsStore.Load() || e.freshness[table].State(e.timer.Boot()).Behind >= maxBehind
 }
 
+const (
+	// probeInterval is the time between two checks whether the store has been silent.
+	probeInterval = 500 * time.Millisecond
+	// probeTimeout bounds the call by which an instance finds out whether it answers again.
+	probeTimeout = 800 * time.Millisecond
+	// probeTable is a table without rows.
+	probeTable = "probe"
+)
+
+// probeStore calls the store if it has not answered for long while feeds wait for changes. Its answer has them
+// ask again.
+func (e *Entry) probeStore(c context.Context) {
+	silence := e.Store.Outages.Silence()
+	if silence < store.MaxSilence || !e.readsTable(e.Tables.Upstreams) && !e.readsTable(e.Tables.Configuration) {
+		return
+	}
+	x, cancel := context.WithTimeout(c, probeTimeout)
+	defer cancel()
+	_, _, err := e.Store.Read(x, probeTable)
+	e.log.Info("store probed after a silence", zap.Duration("silence", silence), zap.Error(err))
+}
+
 // logMissingRows logs once per table that newer rows exist but are missing here, with the data to
 // find the cause: which instance reported them, and whether this instance reads the store itself.
 func (e *Entry) logMissingRows(now time.Duration) {
--- a/transport/store/raw.go
+++ b/transport/store/raw.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/rotisserie/eris"
 
@@ -30,13 +31,14 @@
 // New returns a store whose versions have the era of the answer that they are from. It records each
 // era in eras.
 func New(eras *Eras, r Raw) *Store {
-	k := &client{Raw: r, eras: eras}
-	return &Store{Eras: eras, Transact: k.transact, Read: k.read, Watch: k.watch}
+	k := &client{Raw: r, eras: eras, outages: &Outages{}}
+	return &Store{Eras: eras, Outages: k.outages, Transact: k.transact, Read: k.read, Watch: k.watch}
 }
 
 type client struct {
 	Raw
-	eras *Eras
+	eras    *Eras
+	outages *Outages
 	// stated holds the newest era that the store itself has stated to this client.
 	stated Eras
 }
@@ -55,6 +57,16 @@
 	return e
 }
 
+// record records the outcome of a call. One that its caller gave up, or that the store rejected, tells nothing.
+func (k *client) record(c context.Context, err error) {
+	switch {
+	case err == nil || errors.Is(err, ErrCompacted):
+		k.outages.Record(true)
+	case errors.Is(err, ErrUnavailable) && !errors.Is(c.Err(), context.Canceled):
+		k.outages.Record(false)
+	}
+}
+
 func (k *client) transact(c context.Context, t Transaction) (Result, error) {
 	known, before := k.eras.Known(), k.eras.Current()
 	if k.stated.Known() {
@@ -68,6 +80,7 @@
 		raw.Expected[n] = mirror.Version(v.Counter())
 	}
 	r, e, err := k.Transact(c, raw)
+	k.record(c, err)
 	if e = k.observe(e, err); err != nil {
 		return Result{}, err
 	}
@@ -109,6 +122,7 @@
 	after := ""
 	for {
 		p, e, err := k.ReadPage(c, table, after)
+		k.record(c, err)
 		if e = k.observe(e, err); err != nil {
 			return nil, 0, err
 		}
@@ -131,6 +145,7 @@
 		return nil, 0, eris.Wrapf(ErrRestored, "after a version of era %d in era %d", after.Era(), x)
 	}
 	p, e, err := k.Watch(c, table, mirror.Version(after.Counter()))
+	k.record(c, err)
 	if e = k.observe(e, err); err != nil {
 		return nil, 0, err
 	}
--- a/transport/store/store.go
+++ b/transport/store/store.go
@@ -73,6 +73,8 @@
 type Store struct {
 	// Eras holds the newest era that an answer has stated.
 	Eras *Eras
+	// Outages tells when the store answers again.
+	Outages *Outages
 	// OnTime is called with the time of the store, a steady clock, in each answer that states it. Nil
 	// ignores it.
 	OnTime func(t time.Duration)
