entry: a change of an upstream's slots reaches all instances

A row whose slots alone change does not reach instances that do not read the store, so that the outcome depended on who owned the upstream: it learned the room by rejections, over and over.

Ruled out: permits that are lost or starve on a busy machine (each grant ended within 64 ms, and no call for a permit failed).

The slots are part of what the instances compare. Builds from before have another digest, so that a fleet of both reads the list whole at each change.

TestChangedSlotsReachInstancesThatDoNotReadTheStore failed before.

--- a/entry/row_sync.go
+++ b/entry/row_sync.go
@@ -43,10 +43,11 @@
 	software  software.Version
 	address   string
 	models    int
+	slots     int
 }
 
 func newListing(u pool.Upstream) listing {
-	return listing{present: true, draining: u.Draining, startedAt: u.StartedAt, software: u.Software, address: u.Address, models: len(u.Models)}
+	return listing{present: true, draining: u.Draining, startedAt: u.StartedAt, software: u.Software, address: u.Address, models: len(u.Models), slots: u.Slots}
 }
 
 // chooseReader decides whether this instance reads the tables from the store.
--- a/entry/rows.go
+++ b/entry/rows.go
@@ -141,7 +141,7 @@
 		u.RowVersion = r.Version
 		if record(r, newListing(u)) {
 			log("upstream", zap.String("id", r.Key), zap.String("service", string(u.Service)), zap.String("address", u.Address),
-				zap.Bool("draining", u.Draining), zap.Int64("born", u.StartedAt), zap.String("software", string(u.Software)), zap.Int64("row-version", int64(r.Version)))
+				zap.Bool("draining", u.Draining), zap.Int("slots", u.Slots), zap.Int64("born", u.StartedAt), zap.String("software", string(u.Software)), zap.Int64("row-version", int64(r.Version)))
 		}
 		if old, known := e.pool.Get(u.ID, now); known && old.StartedAt != u.StartedAt && old.Software != u.Software {
 			e.streams.Doubt(r.Key, old.Software)
