--- /dev/null
+++ b/coordination/streams/find.go
@@ -0,0 +1,92 @@
+package streams
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"gentiangauge.example/gentiangauge/state/route"
+	"gentiangauge.example/gentiangauge/state/software"
+)
+
+// Find returns the version at which a stream began, and false if that is not known: others may have begun it by
+// a newer split than this instance knows and can read. If the split does not decide, Find reads the records of all instances, or asks these if the store cannot be reached: a stream that
+// has no record there may have one that cannot be read.
+func (r *Registry) Find(c context.Context, s route.ServiceName, x software.Slot, id software.StreamID) (software.Version, bool) {
+	r.mu.Lock()
+	own, ok := r.begun.Get(id)
+	r.mu.Unlock()
+	if ok {
+		return own.Version, true
+	}
+	k := r.knowledge(s)
+	if k == software.Stale && r.confirmSplits(c) {
+		k = r.knowledge(s)
+	}
+	if k == software.Stale {
+		return "", false
+	}
+	if k == software.NeedsRecords {
+		v, found, complete := r.findRecord(c, id)
+		if !found && !complete {
+			v, found, complete = r.inquire(c, id)
+		}
+		if found || !complete {
+			return v, found
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.split(s).Begun(x, r.storeTime(), r.settleTime(s))
+}
+
+// knowledge returns what the split of a service tells of its streams now.
+func (r *Registry) knowledge(s route.ServiceName) software.Knowledge {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.split(s).Knowledge(r.splitAge(), r.storeTime(), r.settleTime(s))
+}
+
+// splitAge returns how long ago the splits were last known to be the newest, by what the instances tell each
+// other or by a read of this one.
+func (r *Registry) splitAge() time.Duration {
+	age := r.SplitAge()
+	if r.confirmedAt > 0 {
+		age = min(age, r.Timer.Boot()-r.confirmedAt)
+	}
+	return age
+}
+
+// confirmSplits reads the splits from the store, and reports whether they are known to be the newest. Calls at
+// the same time share one read.
+//
+// Load pattern: an instance that has stood still, or is the only one left, gets requests that take streams up.
+func (r *Registry) confirmSplits(c context.Context) bool {
+	r.confirmMu.Lock()
+	defer r.confirmMu.Unlock()
+	now := r.Timer.Boot()
+	r.mu.Lock()
+	age := r.splitAge()
+	r.mu.Unlock()
+	if age <= software.MaxAge {
+		return true
+	}
+	if r.confirmFailedAt > 0 && now-r.confirmFailedAt < failedReadInterval {
+		return false
+	}
+	x, cancel := context.WithTimeout(c, callTimeout)
+	defer cancel()
+	rows, _, err := r.Store.Read(x, r.FleetTable)
+	if err != nil {
+		r.confirmFailedAt = r.Timer.Boot()
+		r.Log.Warn("could not read the splits, which may have been replaced", zap.Duration("age", age), zap.Error(err))
+		return false
+	}
+	r.ApplyRows(rows)
+	r.mu.Lock()
+	r.confirmedAt, r.confirmFailedAt = now, 0
+	r.mu.Unlock()
+	r.Log.Info("splits read, as they may have been replaced", zap.Duration("age", age))
+	return true
+}
