--- a/coordination/streams/outage_test.go
+++ b/coordination/streams/outage_test.go
@@ -162,21 +162,31 @@
 	}
 }
 
+// newFleetInRelease returns two instances that know of one version. Another one has joined, and the first
+// instance has written the split for both.
+func newFleetInRelease(t *testing.T) (f *fleet, a, b *streams.Registry) {
+	f = newFleet()
+	f.store.InjectFault = f.injectFault
+	f.serving = map[software.Version]int{v1: 9}
+	a = f.add(t, "a")
+	a.Step(t.Context())
+	b = f.add(t, "b")
+	f.serving = map[software.Version]int{v1: 1, v2: 9}
+	time.Sleep(1100 * time.Millisecond)
+	a.Step(t.Context())
+	if len(f.splits(t)) == 0 {
+		t.Fatal("no split was written")
+	}
+	return f, a, b
+}
+
 // An instance has stood still or has been cut off, while others have begun streams by a split that it does
 // not know. It takes no stream to have begun by the one that it knows: it reads the splits, or does not know.
 func TestInstanceOutOfStepDoesNotAnswerByItsOldSplit(t *testing.T) {
 	for name, reachable := range map[string]bool{"stood still": true, "cut off": false} {
 		t.Run(name, func(t *testing.T) {
-			f := newFleet()
-			f.store.InjectFault = f.injectFault
+			f, a, b := newFleetInRelease(t)
 			f.lifetime = 100 * time.Millisecond
-			f.serving = map[software.Version]int{v1: 9}
-			a := f.add(t, "a")
-			a.Step(t.Context())
-			b := f.add(t, "b")
-			f.serving = map[software.Version]int{v1: 1, v2: 9}
-			time.Sleep(1100 * time.Millisecond)
-			a.Step(t.Context())
 			a.ObserveStoreTime(2 * time.Hour)
 			b.ObserveStoreTime(2 * time.Hour)
 			f.age = 5 * time.Second
@@ -198,17 +208,7 @@
 // Another version joins, and one instance knows of the new split before another one does, which is at most
 // as late as instances in step are.
 func TestNewSplitIsUsedOnceAllInstancesKnowIt(t *testing.T) {
-	f := newFleet()
-	f.serving = map[software.Version]int{v1: 9}
-	a := f.add(t, "a")
-	a.Step(t.Context())
-	b := f.add(t, "b")
-	f.serving = map[software.Version]int{v1: 1, v2: 9}
-	time.Sleep(1100 * time.Millisecond)
-	a.Step(t.Context())
-	if len(f.splits(t)) == 0 {
-		t.Fatal("no split was written")
-	}
+	_, a, b := newFleetInRelease(t)
 	for i := range software.Slot(64) {
 		x := software.Stream{ID: software.StreamID(i), Service: string(service), Slot: i}
 		x.Version, _ = a.Planned(service, i)
