--- a/coordination/streams/find.go
+++ b/coordination/streams/find.go
@@ -11,8 +11,9 @@
 )
 
 // Find returns the version at which a stream began, and false if that is not known: others may have begun it by
-// a newer split than this instance knows and can read. If the split does not decide, Find reads the records of all instances, or asks these if the store cannot be reached: a stream that
-// has no record there may have one that cannot be read.
+// a newer split than this instance knows and can read. If the split does not decide, Find reads the records of
+// all instances, or asks these if the store cannot be reached: a stream without a known record may have one that
+// cannot be read.
 func (r *Registry) Find(c context.Context, s route.ServiceName, x software.Slot, id software.StreamID) (software.Version, bool) {
 	r.mu.Lock()
 	own, ok := r.begun.Get(id)
