review: stand-ins and a script case on ORDER

Case 1: records of streams are written to the store without a condition, so that a write whose answer was lost and that the store does late replaces a newer one.

--- /dev/null
+++ b/review/_probe/order.go
@@ -0,0 +1,242 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/base64"
+	"fmt"
+	"net/http"
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Figures of the case order. The lost answers are those of the site wtw-prod: platform_lost, x = 0.35, for_s = 4.5,
+// how = late (done 1 to 6 s later).
+const (
+	lostFor   = 4500 * time.Millisecond
+	lostEvery = 4
+	lateBy    = 3 * time.Second
+	killAfter = 3500 * time.Millisecond
+	// settled is the time after which the assignment of streams to software versions is old enough for all
+	// streams that may be taken up: the longest timeout of a stream, and some seconds.
+	settled = 21 * time.Second
+)
+
+// stream is a stream as its client receives it, over all tries.
+type stream struct {
+	id     string
+	last   string
+	events map[string]int
+	tries  []string
+}
+
+var eventPattern = regexp.MustCompile(`software (\S+)`)
+
+// receiveStream sends a request for a stream and takes it up once at another machine if its connection breaks.
+func (s *scene) receiveStream(x *stream, all []*machine, at int, adapter string) {
+	const deadline = 15 * time.Second
+	began := time.Now()
+	for try := range 3 {
+		m := all[(at+try)%len(all)]
+		id := x.id
+		if try > 0 {
+			id = fmt.Sprintf("%s-again-%d", x.id, try)
+		}
+		left := deadline - time.Since(began)
+		s.note("client sends %s to %s, last event %q", id, m.name, x.last)
+		status, wait, err := s.readEvents(x, m, id, adapter, left)
+		s.note("client of %s: status %d, last event %s, error %v", id, status, x.last, err)
+		x.tries = append(x.tries, fmt.Sprintf("%s %d", m.name, status))
+		if status == http.StatusOK && err == nil || left < time.Second {
+			return
+		}
+		time.Sleep(wait)
+	}
+}
+
+func (s *scene) readEvents(x *stream, m *machine, id, adapter string, left time.Duration) (status int, wait time.Duration, err error) {
+	c, cancel := context.WithTimeout(context.Background(), left)
+	defer cancel()
+	r, err := http.NewRequestWithContext(c, http.MethodPost, "http://"+m.front+"/chat/x", strings.NewReader("body of "+x.id))
+	if err != nil {
+		return 0, 0, err
+	}
+	r.Host = host
+	r.Header.Set("X-Request-Id", id)
+	r.Header.Set("X-Deadline-Ms", fmt.Sprint(left.Milliseconds()))
+	r.Header.Set("Authorization", "Bearer key-guild")
+	r.Header.Set("X-Model", model+"/"+adapter)
+	r.Header.Set("X-Token-Usage", "6000,360")
+	r.Header.Set("X-Prompt-Prefix", "5c1e07a2:400,"+fmt.Sprintf("%x", x.id)+":5600")
+	if x.last != "" {
+		r.Header.Set("Last-Event-Id", x.last)
+		r.Header.Set("Resumes", x.id)
+	}
+	k := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	a, err := k.Do(r)
+	if err != nil {
+		return 0, 0, err
+	}
+	defer a.Body.Close()
+	if a.StatusCode != http.StatusOK {
+		var seconds float64
+		_, _ = fmt.Sscan(a.Header.Get("Retry-After"), &seconds)
+		return a.StatusCode, time.Duration(seconds * float64(time.Second)), nil
+	}
+	lines := bufio.NewScanner(a.Body)
+	event, next := "", ""
+	for lines.Scan() {
+		l := lines.Text()
+		if v, ok := strings.CutPrefix(l, "id: "); ok {
+			next = v
+		}
+		event += l + "\n"
+		if l == "" {
+			if v := eventPattern.FindStringSubmatch(event); v != nil {
+				x.events[v[1]]++
+				x.last = next
+			}
+			event = ""
+		}
+	}
+	return a.StatusCode, 0, lines.Err()
+}
+
+// order plays streams that begin at another software version than the planned one while the store loses the
+// answers of writes, and the end of the process that began them.
+func order(s *scene) (int, error) {
+	s.store.put("op", "config", map[string]any{
+		"version": 1,
+		"routes": []map[string]any{{
+			"name": "chat", "host": host, "path-prefix": "/chat/", "kind": "stream", "timeout-ms": 15000, "target-latency-ms": 800, "priority": 0,
+			"service": "models", "max-attempts": 2, "no-auth": false, "sticky": true, "resumable": true, "gap-aim-ms": 300,
+		}},
+		"services": []map[string]any{{"name": "models", "health-path": "/healthz", "max-conns": 780, "protocol": "h1", "tls": false, "engine": map[string]any{
+			"slots": 64, "kv-capacity-tokens": 151353, "models": []map[string]any{{"name": model, "weights-mb": 72700, "load-s": 4.3, "adapters": 3000, "adapter-mb": 66}},
+			"weights-mb": 74600, "adapter-slots": 6, "loads-per-s": 2.9,
+		}}},
+		"limits":  map[string]any{"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
+		"tenants": []map[string]any{{"name": "guild", "api-keys": []string{"key-guild"}, "priority": 1, "unit": "tokens", "plain-tokens": 200, "rate-per-s": 200000, "burst": 200000}},
+	})
+	adapters := map[string]int64{"a1": 1, "a2": 1, "a3": 1, "a4": 1}
+	for i := range 4 {
+		held := map[string]int64{}
+		for a, v := range adapters {
+			held[a] = v
+		}
+		r := &replica{
+			id: fmt.Sprintf("e%d", i+1), service: "models", zone: fmt.Sprintf("zone-%c", 'a'+i%2), address: "127.0.0.1:0", slots: 64, queue: 192, adapterSlots: 6, piece: 60 * time.Millisecond, pieces: 120,
+			readRate: 25.8, software: []string{"v1", "v1", "v1.1", "v1.1"}[i], newest: func(string) int64 { return 1 }, ran: s.ran, note: s.note, store: s.store, adapters: held,
+		}
+		if err := r.start(); err != nil {
+			return failed, err
+		}
+	}
+	all, err := newMachines(3, s.folder, s.store.address, nil)
+	if err != nil {
+		return failed, err
+	}
+	for _, m := range all {
+		defer m.kill()
+		if err := m.start(); err != nil {
+			return failed, err
+		}
+	}
+	if err := awaitReady(all); err != nil {
+		return failed, err
+	}
+	time.Sleep(settled)
+	// Finds an adapter whose streams begin at v1 while nothing else runs.
+	adapter := ""
+	for _, a := range []string{"a1", "a2", "a3", "a4"} {
+		x := &stream{id: "probe-" + a, events: map[string]int{}}
+		status, _, err := s.probeStream(x, all[1], a)
+		s.note("probe of %s: status %d, events %v, error %v", a, status, x.events, err)
+		if status == http.StatusOK && x.events["v1"] > 0 && adapter == "" {
+			adapter = a
+		}
+	}
+	if adapter == "" {
+		return failed, fmt.Errorf("no adapter's streams begin at v1")
+	}
+	time.Sleep(2 * time.Second)
+	began := make(chan time.Time, 1)
+	mode := os.Getenv("TROUBLE")
+	if s.trouble && mode != "kill" {
+		s.loseAnswers(began)
+	}
+	var w sync.WaitGroup
+	var streams []*stream
+	for i := range 14 {
+		x := &stream{id: fmt.Sprintf("s%d", i), events: map[string]int{}}
+		streams = append(streams, x)
+		w.Go(func() { s.receiveStream(x, all, 0, adapter) })
+		time.Sleep(8 * time.Millisecond)
+	}
+	if s.trouble {
+		since := time.Now()
+		if mode != "kill" {
+			select {
+			case since = <-began:
+			case <-time.After(3 * time.Second):
+				return failed, fmt.Errorf("no stream needed a record")
+			}
+		}
+		time.Sleep(time.Until(since.Add(killAfter)))
+		s.note("%s is killed", all[0].name)
+		all[0].kill()
+	}
+	w.Wait()
+	mixed := 0
+	for _, x := range streams {
+		if len(x.events) > 1 {
+			mixed++
+			s.note("%s holds events of several software versions: %v (tries %v)", x.id, x.events, x.tries)
+		}
+	}
+	s.note("%d of %d streams hold events of several software versions; more than 2 break the rule", mixed, len(streams))
+	if mixed > 2 {
+		return broken, nil
+	}
+	return held, nil
+}
+
+// probeStream reads the first events of a stream and leaves.
+func (s *scene) probeStream(x *stream, m *machine, adapter string) (int, time.Duration, error) {
+	return s.readEvents(x, m, x.id, adapter, 700*time.Millisecond)
+}
+
+// loseAnswers has the store lose the answers of writes from the first record of streams on.
+func (s *scene) loseAnswers(began chan<- time.Time) {
+	var mu sync.Mutex
+	var since time.Time
+	n := 0
+	s.store.lose = func(writes []row) (bool, time.Duration) {
+		mu.Lock()
+		defer mu.Unlock()
+		record := slices.ContainsFunc(writes, func(w row) bool { return w.Table == "streams" })
+		if since.IsZero() {
+			if !record {
+				return false, 0
+			}
+			since = time.Now()
+			began <- since
+		}
+		if time.Since(since) > lostFor {
+			return false, 0
+		}
+		lost := n%lostEvery == 0
+		n++
+		for _, w := range writes {
+			v, _ := base64.StdEncoding.DecodeString(w.Value)
+			s.note("write %d of %s/%s, answer lost: %v: %.300s", n, w.Table, w.Key, lost, v)
+		}
+		return lost, lateBy
+	}
+}
+
+func init() { cases["order"] = order }
