--- a/review/_probe/order.go
+++ b/review/_probe/order.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/base64"
+	"errors"
 	"fmt"
 	"net/http"
 	"os"
@@ -14,11 +15,10 @@
 	"time"
 )
 
-// Figures of the case order. The lost answers are those of the site wtw-prod: platform_lost, x = 0.35, for_s = 4.5,
-// how = late (done 1 to 6 s later).
+// Figures of the case order. On the site wtw-prod, platform_lost loses the answers of up to 0.35 of the writes for
+// 4.5 s, and with how = late does these 1 to 6 s later. Here it loses one answer. The writes of lostFor are recorded.
 const (
 	lostFor   = 4500 * time.Millisecond
-	lostEvery = 4
 	lateBy    = 3 * time.Second
 	killAfter = 3500 * time.Millisecond
 	// settled is the time after which the assignment of streams to software versions is old enough for all
@@ -106,9 +106,37 @@
 	return a.StatusCode, 0, lines.Err()
 }
 
-// order plays streams that begin at another software version than the planned one while the store loses the
-// answers of writes, and the end of the process that began them.
+// order plays streams that begin at another software version than the planned one while the store loses the answer
+// of a write, and the end of the process that began them.
 func order(s *scene) (int, error) {
+	began := make(chan time.Time, 1)
+	mode := os.Getenv("TROUBLE")
+	return s.playStreams(func() {
+		if s.trouble && mode != "kill" {
+			s.loseAnswer(began)
+		}
+	}, func(all []*machine) error {
+		if !s.trouble {
+			return nil
+		}
+		since := time.Now()
+		if mode != "kill" {
+			select {
+			case since = <-began:
+			case <-time.After(3 * time.Second):
+				return errors.New("no stream needed a record")
+			}
+		}
+		time.Sleep(time.Until(since.Add(killAfter)))
+		s.note("%s is killed", all[0].name)
+		all[0].kill()
+		return nil
+	})
+}
+
+// playStreams plays streams that begin at another software version than the planned one. It calls before ahead of
+// the first one, and after once all are sent, and judges what the clients have received.
+func (s *scene) playStreams(before func(), after func(all []*machine) error) (int, error) {
 	s.store.put("op", "config", map[string]any{
 		"version": 1,
 		"routes": []map[string]any{{
@@ -164,11 +192,7 @@
 		return failed, fmt.Errorf("no adapter's streams begin at v1")
 	}
 	time.Sleep(2 * time.Second)
-	began := make(chan time.Time, 1)
-	mode := os.Getenv("TROUBLE")
-	if s.trouble && mode != "kill" {
-		s.loseAnswers(began)
-	}
+	before()
 	var w sync.WaitGroup
 	var streams []*stream
 	for i := range 14 {
@@ -177,18 +201,8 @@
 		w.Go(func() { s.receiveStream(x, all, 0, adapter) })
 		time.Sleep(8 * time.Millisecond)
 	}
-	if s.trouble {
-		since := time.Now()
-		if mode != "kill" {
-			select {
-			case since = <-began:
-			case <-time.After(3 * time.Second):
-				return failed, fmt.Errorf("no stream needed a record")
-			}
-		}
-		time.Sleep(time.Until(since.Add(killAfter)))
-		s.note("%s is killed", all[0].name)
-		all[0].kill()
+	if err := after(all); err != nil {
+		return failed, err
 	}
 	w.Wait()
 	mixed := 0
@@ -210,8 +224,22 @@
 	return s.readEvents(x, m, x.id, adapter, 700*time.Millisecond)
 }
 
-// loseAnswers has the store lose the answers of writes from the first record of streams on.
-func (s *scene) loseAnswers(began chan<- time.Time) {
+// noteRecords notes the records of streams in the store.
+func (s *scene) noteRecords() {
+	rows := s.store.copyRows().rows
+	n := 0
+	for _, x := range rows {
+		if x.Table == "streams" && !x.Tombstone {
+			n++
+			v, _ := base64.StdEncoding.DecodeString(x.Value)
+			s.note("the store has %s/%s version %d: %s", x.Table, x.Key, x.Ver, v)
+		}
+	}
+	s.note("the store has %d rows of records of streams", n)
+}
+
+// loseAnswer has the store lose the answer of the first record of streams, and do that write later.
+func (s *scene) loseAnswer(began chan<- time.Time) {
 	var mu sync.Mutex
 	var since time.Time
 	n := 0
@@ -229,7 +257,7 @@
 		if time.Since(since) > lostFor {
 			return false, 0
 		}
-		lost := n%lostEvery == 0
+		lost := n == 0
 		n++
 		for _, w := range writes {
 			v, _ := base64.StdEncoding.DecodeString(w.Value)
--- a/review/_probe/store.go
+++ b/review/_probe/store.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/base64"
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -35,15 +36,53 @@
 	// loses none.
 	lose func(writes []row) (lost bool, late time.Duration)
 	note func(format string, args ...any)
+	// era rises each time that the store comes back from a copy. While away is set it answers nothing.
+	era  int64
+	away bool
 }
 
+// storeCopy is the content of the store at one moment.
+type storeCopy struct {
+	rows    map[string]row
+	version int64
+	taken   time.Time
+}
+
+// copyRows returns a copy of the present content.
+func (s *store) copyRows() storeCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return storeCopy{rows: maps.Clone(s.rows), version: s.version, taken: time.Now()}
+}
+
+// leave ends all calls in progress and has the store answer nothing.
+func (s *store) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = true
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// comeBack has the store answer again, with the content of a copy.
+func (s *store) comeBack(k storeCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.note("the store is back from a copy that is %.1f s old: version %d in place of %d, era %d", time.Since(k.taken).Seconds(), k.version, s.version, s.era+1)
+	s.rows, s.version, s.away = k.rows, k.version, false
+	s.era++
+}
+
+// breakOff ends a call without an answer.
+func breakOff() { panic(http.ErrAbortHandler) }
+
 // answerTime is how long the store takes for a call.
 const answerTime = 4 * time.Millisecond
 
 const pageRows = 500
 
 func newStore() (*store, error) {
-	s := &store{started: time.Now(), rows: map[string]row{}, changed: make(chan struct{})}
+	s := &store{started: time.Now(), rows: map[string]row{}, changed: make(chan struct{}), era: 1}
 	m := http.NewServeMux()
 	m.HandleFunc("POST /api/rows-tx", s.transact)
 	m.HandleFunc("GET /api/rows-get", s.get)
@@ -67,6 +106,10 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.away {
+		// The next heartbeat writes it.
+		return s.version
+	}
 	s.commit([]row{{Table: table, Key: key, Value: base64.StdEncoding.EncodeToString(b)}})
 	return s.version
 }
@@ -89,8 +132,10 @@
 	s.changed = make(chan struct{})
 }
 
+// answer sends an answer. The caller holds mu.
 func (s *store) answer(w http.ResponseWriter, status int, rows []row, truncated bool, version int64) {
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
 	w.WriteHeader(status)
 	if rows == nil {
 		rows = []row{}
@@ -120,6 +165,9 @@
 	time.Sleep(answerTime)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.away {
+		breakOff()
+	}
 	done, current := s.try(q.Expected, q.Writes, q.Remove)
 	if !done {
 		s.answer(w, http.StatusPreconditionFailed, current, false, s.version)
@@ -161,6 +209,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.away {
+		breakOff()
+	}
 	l := []row{}
 	for _, x := range s.rows {
 		if x.Table == q.Get("table") && !x.Tombstone && x.Key >= q.Get("from") && (q.Get("to") == "" || x.Key < q.Get("to")) {
@@ -178,28 +229,57 @@
 	ms, _ := strconv.Atoi(q.Get("wait-ms"))
 	until := time.After(time.Duration(ms) * time.Millisecond)
 	for {
-		s.mu.Lock()
-		l := []row{}
-		for _, x := range s.rows {
-			if x.Table == q.Get("table") && x.Ver > after {
-				l = append(l, x)
-			}
-		}
-		version, changed := s.version, s.changed
-		s.mu.Unlock()
+		l, changed := s.changesAfter(q.Get("table"), after)
 		if len(l) > 0 {
 			time.Sleep(answerTime)
-			slices.SortFunc(l, func(a, b row) int { return int(a.Ver - b.Ver) })
-			s.answer(w, http.StatusOK, l, false, version)
+		}
+		if s.answerFeed(w, q.Get("table"), after, false) {
 			return
 		}
 		select {
 		case <-changed:
 		case <-until:
-			s.answer(w, http.StatusOK, nil, false, version)
+			s.answerFeed(w, q.Get("table"), after, true)
 			return
 		case <-r.Context().Done():
 			return
 		}
 	}
 }
+
+// changesAfter returns the rows of a table that have changed after a version, and a channel that is closed at the
+// next change.
+func (s *store) changesAfter(table string, after int64) ([]row, chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changes(table, after), s.changed
+}
+
+// changes returns the rows of a table that have changed after a version. The caller holds mu.
+func (s *store) changes(table string, after int64) []row {
+	l := []row{}
+	for _, x := range s.rows {
+		if x.Table == table && x.Ver > after {
+			l = append(l, x)
+		}
+	}
+	slices.SortFunc(l, func(a, b row) int { return int(a.Ver - b.Ver) })
+	return l
+}
+
+// answerFeed answers a wait for changes after a version, if there are any or it must be answered now.
+func (s *store) answerFeed(w http.ResponseWriter, table string, after int64, now bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch l := s.changes(table, after); {
+	case s.away:
+		breakOff()
+	case after > s.version:
+		s.answer(w, http.StatusGone, nil, false, s.version)
+	case len(l) > 0 || now:
+		s.answer(w, http.StatusOK, l, false, s.version)
+	default:
+		return false
+	}
+	return true
+}
