review: the case on ORDER stops a process as planned

The process that recorded the streams gets SIGTERM, where it was killed before, so that the lost answer is the only disruption.

--- a/review/_probe/fleet.go
+++ b/review/_probe/fleet.go
@@ -27,7 +27,7 @@
 
 // freePorts returns ports that are free at all addresses.
 func freePorts(ips []string) (ports, error) {
-	next := 20_000 + os.Getpid()%4_000
+	next := 20_000 + os.Getpid()*16%12_000
 	for range 500 {
 		p := ports{directory: next, front: next + 1, ready: next + 2, first: next + 3}
 		next += 16
@@ -121,6 +121,11 @@
 	}
 }
 
+// terminate asks the process to end, as planned work does, and doesn't wait for that.
+func (m *machine) terminate() error {
+	return m.process.Process.Signal(syscall.SIGTERM)
+}
+
 // isReady asks the machine whether it is ready, as the platform does.
 func (m *machine) isReady() bool {
 	c := &http.Client{Timeout: time.Second}
--- a/review/_probe/order.go
+++ b/review/_probe/order.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"os"
 	"regexp"
 	"slices"
 	"strings"
@@ -20,7 +19,7 @@
 const (
 	lostFor   = 4500 * time.Millisecond
 	lateBy    = 3 * time.Second
-	killAfter = 3500 * time.Millisecond
+	stopAfter = 3500 * time.Millisecond
 	// settled is the time after which the assignment of streams to software versions is old enough for all
 	// streams that may be taken up: the longest timeout of a stream, and some seconds.
 	settled = 21 * time.Second
@@ -107,30 +106,25 @@
 }
 
 // order plays streams that begin at another software version than the planned one while the store loses the answer
-// of a write, and the end of the process that began them.
+// of a write, and the planned end of the process that began them.
 func order(s *scene) (int, error) {
 	began := make(chan time.Time, 1)
-	mode := os.Getenv("TROUBLE")
 	return s.playStreams(func() {
-		if s.trouble && mode != "kill" {
+		if s.trouble {
 			s.loseAnswer(began)
 		}
 	}, func(all []*machine) error {
-		if !s.trouble {
-			return nil
-		}
 		since := time.Now()
-		if mode != "kill" {
+		if s.trouble {
 			select {
 			case since = <-began:
 			case <-time.After(3 * time.Second):
 				return errors.New("no stream needed a record")
 			}
 		}
-		time.Sleep(time.Until(since.Add(killAfter)))
-		s.note("%s is killed", all[0].name)
-		all[0].kill()
-		return nil
+		time.Sleep(time.Until(since.Add(stopAfter)))
+		s.note("%s gets SIGTERM", all[0].name)
+		return all[0].terminate()
 	})
 }
 
@@ -157,7 +151,7 @@
 			held[a] = v
 		}
 		r := &replica{
-			id: fmt.Sprintf("e%d", i+1), service: "models", zone: fmt.Sprintf("zone-%c", 'a'+i%2), address: "127.0.0.1:0", slots: 64, queue: 192, adapterSlots: 6, piece: 60 * time.Millisecond, pieces: 120,
+			id: fmt.Sprintf("e%d", i+1), service: "models", zone: fmt.Sprintf("zone-%c", 'a'+i%2), address: "127.0.0.1:0", slots: 64, queue: 192, adapterSlots: 6, piece: 60 * time.Millisecond, pieces: 200,
 			readRate: 25.8, software: []string{"v1", "v1", "v1.1", "v1.1"}[i], newest: func(string) int64 { return 1 }, ran: s.ran, note: s.note, store: s.store, adapters: held,
 		}
 		if err := r.start(); err != nil {
