--- a/review/_probe/order.go
+++ b/review/_probe/order.go
@@ -31,6 +31,8 @@
 	last   string
 	events map[string]int
 	tries  []string
+	// prompt and output are the numbers of tokens that the request states.
+	prompt, output int
 }
 
 var eventPattern = regexp.MustCompile(`software (\S+)`)
@@ -69,8 +71,8 @@
 	r.Header.Set("X-Deadline-Ms", fmt.Sprint(left.Milliseconds()))
 	r.Header.Set("Authorization", "Bearer key-guild")
 	r.Header.Set("X-Model", model+"/"+adapter)
-	r.Header.Set("X-Token-Usage", "6000,360")
-	r.Header.Set("X-Prompt-Prefix", "5c1e07a2:400,"+fmt.Sprintf("%x", x.id)+":5600")
+	r.Header.Set("X-Token-Usage", fmt.Sprintf("%d,%d", x.prompt, x.output))
+	r.Header.Set("X-Prompt-Prefix", fmt.Sprintf("5c1e07a2:400,%x:%d", x.id, x.prompt-400))
 	if x.last != "" {
 		r.Header.Set("Last-Event-Id", x.last)
 		r.Header.Set("Resumes", x.id)
@@ -131,29 +133,9 @@
 // playStreams plays streams that begin at another software version than the planned one. It calls before ahead of
 // the first one, and after once all are sent, and judges what the clients have received.
 func (s *scene) playStreams(before func(), after func(all []*machine) error) (int, error) {
-	s.store.put("op", "config", map[string]any{
-		"version": 1,
-		"routes": []map[string]any{{
-			"name": "chat", "host": host, "path-prefix": "/chat/", "kind": "stream", "timeout-ms": 15000, "target-latency-ms": 800, "priority": 0,
-			"service": "models", "max-attempts": 2, "no-auth": false, "sticky": true, "resumable": true, "gap-aim-ms": 300,
-		}},
-		"services": []map[string]any{{"name": "models", "health-path": "/healthz", "max-conns": 780, "protocol": "h1", "tls": false, "engine": map[string]any{
-			"slots": 64, "kv-capacity-tokens": 151353, "models": []map[string]any{{"name": model, "weights-mb": 72700, "load-s": 4.3, "adapters": 3000, "adapter-mb": 66}},
-			"weights-mb": 74600, "adapter-slots": 6, "loads-per-s": 2.9,
-		}}},
-		"limits":  map[string]any{"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
-		"tenants": []map[string]any{{"name": "guild", "api-keys": []string{"key-guild"}, "priority": 1, "unit": "tokens", "plain-tokens": 200, "rate-per-s": 200000, "burst": 200000}},
-	})
-	adapters := map[string]int64{"a1": 1, "a2": 1, "a3": 1, "a4": 1}
+	s.putStreamConfig(64)
 	for i := range 4 {
-		held := map[string]int64{}
-		for a, v := range adapters {
-			held[a] = v
-		}
-		r := &replica{
-			id: fmt.Sprintf("e%d", i+1), service: "models", zone: fmt.Sprintf("zone-%c", 'a'+i%2), address: "127.0.0.1:0", slots: 64, queue: 192, adapterSlots: 6, piece: 60 * time.Millisecond, pieces: 200,
-			readRate: 25.8, software: []string{"v1", "v1", "v1.1", "v1.1"}[i], newest: func(string) int64 { return 1 }, ran: s.ran, note: s.note, store: s.store, adapters: held,
-		}
+		r := s.newEngine(fmt.Sprintf("e%d", i+1), i, []string{"v1", "v1.1"}[i/2])
 		if err := r.start(); err != nil {
 			return failed, err
 		}
@@ -172,25 +154,16 @@
 		return failed, err
 	}
 	time.Sleep(settled)
-	// Finds an adapter whose streams begin at v1 while nothing else runs.
-	adapter := ""
-	for _, a := range []string{"a1", "a2", "a3", "a4"} {
-		x := &stream{id: "probe-" + a, events: map[string]int{}}
-		status, _, err := s.probeStream(x, all[1], a)
-		s.note("probe of %s: status %d, events %v, error %v", a, status, x.events, err)
-		if status == http.StatusOK && x.events["v1"] > 0 && adapter == "" {
-			adapter = a
-		}
-	}
-	if adapter == "" {
-		return failed, fmt.Errorf("no adapter's streams begin at v1")
+	adapter, err := s.findAdapter(all[1])
+	if err != nil {
+		return failed, err
 	}
 	time.Sleep(2 * time.Second)
 	before()
 	var w sync.WaitGroup
 	var streams []*stream
 	for i := range 14 {
-		x := &stream{id: fmt.Sprintf("s%d", i), events: map[string]int{}}
+		x := &stream{id: fmt.Sprintf("s%d", i), events: map[string]int{}, prompt: 6000, output: 360}
 		streams = append(streams, x)
 		w.Go(func() { s.receiveStream(x, all, 0, adapter) })
 		time.Sleep(8 * time.Millisecond)
@@ -213,6 +186,48 @@
 	return held, nil
 }
 
+// putStreamConfig writes a configuration with one route of streams that may be resumed.
+func (s *scene) putStreamConfig(slots int) {
+	s.store.put("op", "config", map[string]any{
+		"version": 1,
+		"routes": []map[string]any{{
+			"name": "chat", "host": host, "path-prefix": "/chat/", "kind": "stream", "timeout-ms": 15000, "target-latency-ms": 800, "priority": 0,
+			"service": "models", "max-attempts": 2, "no-auth": false, "sticky": true, "resumable": true, "gap-aim-ms": 300,
+		}},
+		"services": []map[string]any{{"name": "models", "health-path": "/healthz", "max-conns": 780, "protocol": "h1", "tls": false, "engine": map[string]any{
+			"slots": slots, "kv-capacity-tokens": 151353, "models": []map[string]any{{"name": model, "weights-mb": 72700, "load-s": 4.3, "adapters": 3000, "adapter-mb": 66}},
+			"weights-mb": 74600, "adapter-slots": 6, "loads-per-s": 2.9,
+		}}},
+		"limits":  map[string]any{"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
+		"tenants": []map[string]any{{"name": "guild", "api-keys": []string{"key-guild"}, "priority": 1, "unit": "tokens", "plain-tokens": 200, "rate-per-s": 200000, "burst": 200000}},
+	})
+}
+
+// newEngine returns an engine that holds all adapters and is not started. The parameter i chooses its zone.
+func (s *scene) newEngine(id string, i int, software string) *replica {
+	return &replica{
+		id: id, service: "models", zone: fmt.Sprintf("zone-%c", 'a'+i%2), address: "127.0.0.1:0", slots: 64, queue: 192, adapterSlots: 6, piece: 60 * time.Millisecond, pieces: 200,
+		readRate: 25.8, software: software, newest: func(string) int64 { return 1 }, ran: s.ran, note: s.note, store: s.store, adapters: map[string]int64{"a1": 1, "a2": 1, "a3": 1, "a4": 1},
+	}
+}
+
+// findAdapter finds an adapter whose streams begin at v1 while nothing else runs.
+func (s *scene) findAdapter(m *machine) (string, error) {
+	adapter := ""
+	for _, a := range []string{"a1", "a2", "a3", "a4"} {
+		x := &stream{id: "probe-" + a, events: map[string]int{}, prompt: 6000, output: 360}
+		status, _, err := s.probeStream(x, m, a)
+		s.note("probe of %s: status %d, events %v, error %v", a, status, x.events, err)
+		if status == http.StatusOK && x.events["v1"] > 0 && adapter == "" {
+			adapter = a
+		}
+	}
+	if adapter == "" {
+		return "", errors.New("no adapter's streams begin at v1")
+	}
+	return adapter, nil
+}
+
 // probeStream reads the first events of a stream and leaves.
 func (s *scene) probeStream(x *stream, m *machine, adapter string) (int, time.Duration, error) {
 	return s.readEvents(x, m, x.id, adapter, 700*time.Millisecond)
--- a/review/_probe/replica.go
+++ b/review/_probe/replica.go
@@ -102,6 +102,16 @@
 	return nil
 }
 
+// crash ends the replica at once: its connections break, and its row expires after three heartbeats. It doesn't come
+// back.
+func (r *replica) crash() {
+	r.mu.Lock()
+	r.state = "gone"
+	r.mu.Unlock()
+	_ = r.server.Close()
+	time.AfterFunc(3*heartbeat, func() { r.store.drop("servers", r.id) })
+}
+
 func (r *replica) models() []map[string]any {
 	l := []string{}
 	for a, v := range r.adapters {
