--- a/review/_probe/lost.go
+++ b/review/_probe/lost.go
@@ -99,6 +99,7 @@
 			if s.trouble {
 				s.note("%s crashes", engines[0].id)
 				engines[0].crash()
+				time.AfterFunc(crashedFor, func() { s.restartEngine(engines[0]) })
 			}
 		}
 		v := &visit{stream: stream{id: fmt.Sprintf("s%d", i), events: map[string]int{}, prompt: 600, output: 120}}
@@ -129,4 +130,12 @@
 	return held, nil
 }
 
+// restartEngine starts an engine that has crashed as a new replica, which is empty.
+func (s *scene) restartEngine(old *replica) {
+	r := s.newEngine(old.id+"-again", 0, old.software)
+	r.zone, r.slots, r.queue, r.pieces, r.piece, r.empty, r.adapters = old.zone, old.slots, old.queue, old.pieces, old.piece, true, nil
+	err := r.start()
+	s.note("%s is back as %s: %v", old.id, r.id, err)
+}
+
 func init() { cases["lost"] = lost }
--- a/review/_probe/replica.go
+++ b/review/_probe/replica.go
@@ -17,7 +17,9 @@
 	model     = "base"
 	heartbeat = 1200 * time.Millisecond
 	loadTime  = 250 * time.Millisecond
-	drainTime = 2 * time.Second
+	// modelLoadTime is the time that a base model takes from the replica's own disk.
+	modelLoadTime = 600 * time.Millisecond
+	drainTime     = 2 * time.Second
 )
 
 // run is one run of a request at a replica.
@@ -45,6 +47,8 @@
 	software string
 	// newest returns the newest version of an adapter.
 	newest func(adapter string) int64
+	// empty is set until the base model has been loaded, as after a restart.
+	empty bool
 	// reject has the replica turn requests away as if it were full.
 	reject func() bool
 	ran    func(run)
@@ -102,8 +106,7 @@
 	return nil
 }
 
-// crash ends the replica at once: its connections break, and its row expires after three heartbeats. It doesn't come
-// back.
+// crash ends the replica at once: its connections break, and its row expires after three heartbeats.
 func (r *replica) crash() {
 	r.mu.Lock()
 	r.state = "gone"
@@ -113,6 +116,9 @@
 }
 
 func (r *replica) models() []map[string]any {
+	if r.empty {
+		return []map[string]any{}
+	}
 	l := []string{}
 	for a, v := range r.adapters {
 		l = append(l, fmt.Sprintf("%s@%d", a, v))
@@ -139,6 +145,9 @@
 	defer r.mu.Unlock()
 	coming := []string{}
 	for a, v := range r.coming {
+		if a == "" {
+			continue
+		}
 		coming = append(coming, fmt.Sprintf("%s/%s@%d", model, a, v))
 	}
 	w.Header().Set("Content-Type", "application/json")
@@ -176,6 +185,18 @@
 	case o.Op == "unload":
 		r.fence, r.seq = o.Fence, r.seq+1
 		delete(r.adapters, o.Adapter)
+	case r.empty && (o.Adapter != "" || len(r.coming) > 0):
+		status = http.StatusConflict
+	case r.empty:
+		r.fence, r.seq = o.Fence, r.seq+1
+		r.coming[""] = v
+		status = http.StatusAccepted
+		time.AfterFunc(modelLoadTime, func() {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			delete(r.coming, "")
+			r.empty = false
+		})
 	case o.Adapter == "" || r.adapters[o.Adapter] == v:
 		r.fence = o.Fence
 	default:
@@ -228,7 +249,7 @@
 	expected := q.Header.Get("X-Expect-Version")
 	r.mu.Lock()
 	v, there := r.adapters[adapter]
-	if adapter != "" && (!there || expected != "" && expected != strconv.FormatInt(v, 10)) {
+	if r.empty || adapter != "" && (!there || expected != "" && expected != strconv.FormatInt(v, 10)) {
 		r.mu.Unlock()
 		notRun(w, http.StatusMisdirectedRequest)
 		return
