streams: a late write does not replace newer records

Cause: the row of an instance's records was written without a condition. The store gave no answer to one write, performed it 3 s later, and it replaced the newer row, which had been acknowledged and was never compared again. That the newer row was not written, or that the reader had an old copy, is ruled out by the notes of the stand-in store.

The rows that belong to one instance are now written by ownrow: with the version of the row as the condition, and again where a read shows another value. Member rows had the same fault, by a late removal of an earlier run.

--- a/coordination/streams/record.go
+++ b/coordination/streams/record.go
@@ -161,23 +161,22 @@
 }
 
 func (r *Registry) retryRead(c context.Context) {
-	rows, err := r.readRecords(c)
+	rows, asOf, err := r.readRecords(c)
 	r.records.mu.Lock()
 	defer r.records.mu.Unlock()
 	r.records.retrying = false
-	r.applyRecords(rows, err)
+	r.applyRecords(rows, asOf, err)
 }
 
-func (r *Registry) readRecords(c context.Context) ([]mirror.Row, error) {
+func (r *Registry) readRecords(c context.Context) ([]mirror.Row, mirror.Version, error) {
 	x, cancel := context.WithTimeout(c, callTimeout)
 	defer cancel()
-	rows, _, err := r.Store.Read(x, r.RecordTable)
-	return rows, err
+	return r.Store.Read(x, r.RecordTable)
 }
 
 // applyRecords replaces the known records by those that were read, and removes the rows of instances that
 // have not written for long.
-func (r *Registry) applyRecords(rows []mirror.Row, err error) {
+func (r *Registry) applyRecords(rows []mirror.Row, asOf mirror.Version, err error) {
 	r.records.readAt, r.records.failed = r.Timer.Boot(), err != nil
 	if err != nil {
 		r.Log.Warn("could not read the records of streams", zap.Error(err))
@@ -187,7 +186,11 @@
 	r.mu.Lock()
 	now := r.storeTime()
 	r.mu.Unlock()
+	var own mirror.Row
 	for _, row := range rows {
+		if row.Key == r.key {
+			own = row
+		}
 		m, err := r.records.add(row.Value)
 		if err != nil {
 			r.Log.Error("cannot decode records of streams", zap.String("key", row.Key), zap.Error(err))
@@ -197,6 +200,9 @@
 			go r.removeRecords(row.Key, row.Version)
 		}
 	}
+	if r.own.Observe(own, asOf); r.own.Differs() {
+		notify(r.changed)
+	}
 }
 
 func (k *records) add(value []byte) (recordRow, error) {
@@ -226,7 +232,7 @@
 // writeRecords writes the streams whose version does not follow from the split of their service, until
 // c ends.
 func (r *Registry) writeRecords(c context.Context) {
-	var written map[software.StreamID]software.Version
+	var wanted map[software.StreamID]software.Version
 	for c.Err() == nil {
 		select {
 		case <-r.changed:
@@ -235,17 +241,23 @@
 			return
 		}
 		list := r.unplanned()
-		var err error
-		if hasNew(list, written) {
-			r.writes.begin(r.Timer.Boot())
-			err = r.writeRow(c, list)
+		if hasNew(list, wanted) {
+			value, err := r.encodeRecords(list)
+			if err != nil {
+				r.Log.Error("cannot encode records of streams", zap.Error(err))
+				continue
+			}
+			r.own.Want(value)
+			wanted = list
 		}
-		r.writes.end(err)
-		if err != nil {
-			r.Log.Warn("could not write records of streams", zap.Int("streams", len(list)), zap.Error(err))
+		// Others remove the row of an instance that has had no such streams for long.
+		if len(list) == 0 || !r.own.Differs() {
+			r.writes.end(nil)
+			continue
+		}
+		if err := r.writeRow(c); err != nil {
+			r.Log.Warn("could not write records of streams", zap.Int("streams", len(wanted)), zap.Error(err))
 			notify(r.changed)
-		} else {
-			written = list
 		}
 		_ = r.Timer.Wait(c, urgentInterval)
 		n, stop := r.Timer.Notify(max(recordInterval, recordPerPeer*time.Duration(r.PeerCount())) - urgentInterval)
@@ -259,10 +271,10 @@
 	}
 }
 
-// hasNew reports whether a list has a stream that was not written as it is.
-func hasNew(list, written map[software.StreamID]software.Version) bool {
+// hasNew reports whether a list has a stream that is not among others as it is.
+func hasNew(list, others map[software.StreamID]software.Version) bool {
 	for id, v := range list {
-		if written[id] != v {
+		if others[id] != v {
 			return true
 		}
 	}
@@ -286,7 +298,7 @@
 	return out
 }
 
-func (r *Registry) writeRow(c context.Context, list map[software.StreamID]software.Version) error {
+func (r *Registry) encodeRecords(list map[software.StreamID]software.Version) ([]byte, error) {
 	r.mu.Lock()
 	m := recordRow{WrittenMs: r.storeTime().Milliseconds(), Streams: make(map[string]uint16, len(list))}
 	r.mu.Unlock()
@@ -300,12 +312,14 @@
 		}
 		m.Streams[strconv.FormatUint(uint64(id), 16)] = i
 	}
-	value, err := json.Marshal(m)
-	if err != nil {
-		return eris.Wrap(err, "encode records of streams")
-	}
+	return json.Marshal(m)
+}
+
+func (r *Registry) writeRow(c context.Context) error {
 	x, cancel := context.WithTimeout(c, callTimeout)
 	defer cancel()
-	_, err = r.Store.Transact(x, store.Transaction{Writes: []store.Write{{Key: store.Key{Table: r.RecordTable, Key: r.key}, Value: value}}})
+	r.writes.begin(r.Timer.Boot())
+	err := r.own.Write(x)
+	r.writes.end(err)
 	return err
 }
--- a/coordination/streams/streams.go
+++ b/coordination/streams/streams.go
@@ -15,6 +15,7 @@
 
 	"go.uber.org/zap"
 
+	"gentiangauge.example/gentiangauge/coordination/ownrow"
 	"gentiangauge.example/gentiangauge/state/mirror"
 	"gentiangauge.example/gentiangauge/state/route"
 	"gentiangauge.example/gentiangauge/state/software"
@@ -91,8 +92,10 @@
 	storeAhead     time.Duration
 	storeTimeKnown bool
 	records        records
-	writes         recordWrites
-	inquiry        inquiry
+	// own is the row of the records of this instance.
+	own     *ownrow.Row
+	writes  recordWrites
+	inquiry inquiry
 	// confirmedAt is when this instance last began to read the splits by itself, or 0.
 	confirmedAt time.Duration
 	// confirmMu is held during such a read. It guards confirmFailedAt, which is when the last one failed, or 0.
@@ -108,6 +111,7 @@
 	return &Registry{
 		Services: s, key: key, splits: map[route.ServiceName]*split{}, begun: software.NewStreams(),
 		changed: make(chan struct{}, 1), urgent: make(chan struct{}, 1), records: newRecords(),
+		own: ownrow.New(s.Store, store.Key{Table: s.RecordTable, Key: key}),
 	}
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -22,6 +22,7 @@
 	"gentiangauge.example/gentiangauge/coordination/gossip"
 	"gentiangauge.example/gentiangauge/coordination/orders"
 	"gentiangauge.example/gentiangauge/coordination/ownership"
+	"gentiangauge.example/gentiangauge/coordination/ownrow"
 	"gentiangauge.example/gentiangauge/coordination/paths"
 	"gentiangauge.example/gentiangauge/coordination/streams"
 	"gentiangauge.example/gentiangauge/coordination/suspect"
@@ -156,8 +157,9 @@
 	// verdictsStoredAt is when this instance last tried to store verdicts. Only housekeeping uses
 	// it.
 	verdictsStoredAt time.Duration
-	// memberRowVersion is the version at which this instance last wrote its member row, or 0.
-	memberRowVersion atomic.Int64
+	// memberRow is the member row of this instance, and registered set once it has been written.
+	memberRow  *ownrow.Row
+	registered atomic.Bool
 	// memberRowWrittenAt is when this instance last wrote its lost member row again. Only
 	// housekeeping uses it.
 	memberRowWrittenAt time.Duration
@@ -180,7 +182,8 @@
 		wakeups: map[string]chan struct{}{}, freshness: map[string]*tableFreshness{}, listings: mirror.NewChangeTracker[listing](),
 		trials:     suspicion.NewTrials(),
 		ownerCalls: newOwnerCalls(c), retries: retry.New(), usageReports: usage.New(),
-		quota: newQuota(k.PlanWindow), versions: versions{known: map[pool.Adapter]versionState{}}, members: members{known: map[string]member{}},
+		memberRow: ownrow.New(p.Store, store.Key{Table: ownership.FleetTable, Key: memberPrefix + k.Name}),
+		quota:     newQuota(k.PlanWindow), versions: versions{known: map[pool.Adapter]versionState{}}, members: members{known: map[string]member{}},
 	}
 	recorder := timeline.New(k.Name, timelineEvents, t.Now)
 	e.mesh = mesh.New(k.PeerAddress, mesh.Clock{Tick: recorder.Tick, Observe: recorder.Observe})
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -167,38 +167,40 @@
 	}
 }
 
-// restoreMemberRow writes the member row of this instance again if the store has lost it: the local
-// copy is complete up to the version at which the row was written, and lacks the row.
+// restoreMemberRow writes the member row of this instance again if the store does not have it as it is: it has
+// come back from a copy, or has performed a write of an earlier run late.
 func (e *Entry) restoreMemberRow(c context.Context, now time.Duration) {
-	m, written := e.feeds[ownership.FleetTable].Mirror, mirror.Version(e.memberRowVersion.Load())
-	if written == 0 || m.Version() < written || e.leaving.Load() || now-e.memberRowWrittenAt < memberRowInterval {
+	m := e.feeds[ownership.FleetTable].Mirror
+	if !e.registered.Load() || e.leaving.Load() || now-e.memberRowWrittenAt < memberRowInterval {
 		return
 	}
-	if r, ok := m.Get(memberPrefix + e.Name); ok && !r.Removed {
+	x, _ := m.Get(memberPrefix + e.Name)
+	if e.memberRow.Observe(x, m.Version()); !e.memberRow.Differs() {
 		return
 	}
 	e.memberRowWrittenAt = now
-	err := e.writeMemberRow(c)
-	e.log.Warn("the store has lost the member row of this instance; written again", zap.Int64("written-before", int64(written)), zap.Int64("row-version", e.memberRowVersion.Load()), zap.Error(err))
+	err := e.memberRow.Write(c)
+	e.log.Warn("the store does not have the member row of this instance; written again", zap.Int64("table-version", int64(m.Version())), zap.Error(err))
 }
 
-// writeMemberRow writes the member row of this instance, and records its version.
+// writeMemberRow writes the member row of this instance.
 func (e *Entry) writeMemberRow(c context.Context) error {
 	value, err := json.Marshal(memberRow{Front: e.FrontAddress, Peer: e.PeerAddress, Zone: e.Zone, Run: e.run})
 	if err != nil {
 		return eris.Wrap(err, "encode member row")
 	}
-	r, err := e.Store.Transact(c, store.Transaction{Writes: []store.Write{{Key: store.Key{Table: ownership.FleetTable, Key: memberPrefix + e.Name}, Value: value}}})
-	if err == nil {
-		e.memberRowVersion.Store(int64(r.Version))
+	e.memberRow.Want(value)
+	if err := e.memberRow.Write(c); err != nil {
+		return err
 	}
-	return err
+	e.registered.Store(true)
+	return nil
 }
 
 // Deregister deletes the member row of this instance.
 func (e *Entry) Deregister(c context.Context) {
-	t := store.Transaction{Deletes: []store.Key{{Table: ownership.FleetTable, Key: memberPrefix + e.Name}}}
-	if _, err := e.Store.Transact(c, t); err != nil {
+	e.memberRow.Want(nil)
+	if err := e.memberRow.Write(c); err != nil {
 		e.log.Warn("could not delete member row", zap.Error(err))
 	}
 }
