streams: records that are lost with a drill are written again

Cause: a record that was acknowledged counted as written for good, so that the instance did not write it again in the new era, and whoever read the rows of the new era took a stream without a record to have begun as planned.

Each instance writes its row again in a new era and names the era in it. Until the rows of all instances are of the era, a stream without a record is asked for at the instances, and its version is unknown if one of them has left.

--- a/coordination/streams/find.go
+++ b/coordination/streams/find.go
@@ -12,8 +12,8 @@
 
 // Find returns the version at which a stream began, and false if that is not known: others may have begun it by
 // a newer split than this instance knows and can read. If the split does not decide, Find reads the records of
-// all instances, or asks these if the store cannot be reached: a stream without a known record may have one that
-// cannot be read.
+// all instances, or asks these if the store cannot be reached or may have lost records: a stream without a known
+// record may have one.
 func (r *Registry) Find(c context.Context, s route.ServiceName, x software.Slot, id software.StreamID) (software.Version, bool) {
 	r.mu.Lock()
 	own, ok := r.begun.Get(id)
@@ -28,10 +28,15 @@
 	if k == software.Stale {
 		return "", false
 	}
+	if k == software.Known && !r.recordsWhole() {
+		// The split may have been replaced by one that is lost, too.
+		k = software.NeedsRecords
+	}
 	if k == software.NeedsRecords {
 		v, found, complete := r.findRecord(c, id)
-		if !found && !complete {
+		if !found && !(complete && r.recordsWhole()) {
 			v, found, complete = r.inquire(c, id)
+			complete = complete && r.answersSuffice()
 		}
 		if found || !complete {
 			return v, found
--- a/coordination/streams/outage_test.go
+++ b/coordination/streams/outage_test.go
@@ -18,6 +18,9 @@
 func (f *fleet) fail(calls ...string) { f.failing.Store(&calls) }
 
 func (f *fleet) injectFault(call string) (bool, error) {
+	if call == "transact" {
+		f.transactions.Add(1)
+	}
 	if f.hanging.Load() {
 		<-f.hang
 		return false, errors.New("away")
--- a/coordination/streams/record.go
+++ b/coordination/streams/record.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"strconv"
 	"sync"
 	"time"
@@ -66,9 +67,12 @@
 }
 
 // recordRow is the row of the streams that one instance has begun. Each stream is its ID in
-// hexadecimal and the index of its version.
+// hexadecimal and the index of its version. Era is the era of the store in which the row was written, and
+// StartedIn the one in which the instance started; earlier builds leave both out.
 type recordRow struct {
 	WrittenMs int64             `json:"written-ms"`
+	Era       int64             `json:"era,omitempty"`
+	StartedIn int64             `json:"started-in,omitempty"`
 	Versions  []string          `json:"versions"`
 	Streams   map[string]uint16 `json:"streams"`
 }
@@ -196,6 +200,7 @@
 			r.Log.Error("cannot decode records of streams", zap.String("key", row.Key), zap.Error(err))
 			continue
 		}
+		r.confirm(row.Key, m)
 		if row.Key != r.key && now-time.Duration(m.WrittenMs)*time.Millisecond > recordLifetime {
 			go r.removeRecords(row.Key, row.Version)
 		}
@@ -230,28 +235,35 @@
 }
 
 // writeRecords writes the streams whose version does not follow from the split of their service, until
-// c ends.
+// c ends. In each era in which records may be lost it writes the row again, also without any such stream.
 func (r *Registry) writeRecords(c context.Context) {
 	var wanted map[software.StreamID]software.Version
+	var wantedIn mirror.Era
 	for c.Err() == nil {
 		select {
 		case <-r.changed:
 		case <-r.urgent:
+		case <-r.Store.Eras.Changed(wantedIn):
+			if _, confirm := r.confirmsEra(); confirm && len(r.unplanned()) == 0 {
+				// All instances learn of an era at the same moment.
+				_ = r.Timer.Wait(c, rand.N(r.recordInterval()))
+			}
 		case <-c.Done():
 			return
 		}
 		list := r.unplanned()
-		if hasNew(list, wanted) {
-			value, err := r.encodeRecords(list)
+		e, confirm := r.confirmsEra()
+		if hasNew(list, wanted) || wantedIn != e {
+			value, err := r.encodeRecords(list, e)
 			if err != nil {
 				r.Log.Error("cannot encode records of streams", zap.Error(err))
 				continue
 			}
 			r.own.Want(value)
-			wanted = list
+			wanted, wantedIn = list, e
 		}
 		// Others remove the row of an instance that has had no such streams for long.
-		if len(list) == 0 || !r.own.Differs() {
+		if len(list) == 0 && !confirm || !r.own.Differs() {
 			r.writes.end(nil)
 			continue
 		}
@@ -260,7 +272,7 @@
 			notify(r.changed)
 		}
 		_ = r.Timer.Wait(c, urgentInterval)
-		n, stop := r.Timer.Notify(max(recordInterval, recordPerPeer*time.Duration(r.PeerCount())) - urgentInterval)
+		n, stop := r.Timer.Notify(r.recordInterval() - urgentInterval)
 		select {
 		case <-n:
 		case <-r.urgent:
@@ -271,6 +283,20 @@
 	}
 }
 
+// recordInterval is the minimum time between two writes of the records of this instance that are not urgent.
+func (r *Registry) recordInterval() time.Duration {
+	return max(recordInterval, recordPerPeer*time.Duration(r.PeerCount()))
+}
+
+// confirmsEra returns the present era, and whether the row of this instance has to tell in it that it has all
+// records of this run.
+func (r *Registry) confirmsEra() (mirror.Era, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	lack := r.mayLack()
+	return r.era.current, lack && r.era.startedIn < r.era.current
+}
+
 // hasNew reports whether a list has a stream that is not among others as it is.
 func hasNew(list, others map[software.StreamID]software.Version) bool {
 	for id, v := range list {
@@ -298,9 +324,9 @@
 	return out
 }
 
-func (r *Registry) encodeRecords(list map[software.StreamID]software.Version) ([]byte, error) {
+func (r *Registry) encodeRecords(list map[software.StreamID]software.Version, e mirror.Era) ([]byte, error) {
 	r.mu.Lock()
-	m := recordRow{WrittenMs: r.storeTime().Milliseconds(), Streams: make(map[string]uint16, len(list))}
+	m := recordRow{WrittenMs: r.storeTime().Milliseconds(), Era: int64(e), StartedIn: int64(r.era.startedIn), Streams: make(map[string]uint16, len(list))}
 	r.mu.Unlock()
 	index := map[software.Version]uint16{}
 	for id, v := range list {
--- a/coordination/streams/streams.go
+++ b/coordination/streams/streams.go
@@ -56,6 +56,8 @@
 	SplitAge func() time.Duration
 	// PeerCount returns the number of other instances.
 	PeerCount func() int
+	// Instances returns the names of all known instances, this one among them.
+	Instances func() []string
 	// Ask asks all other instances for streams.
 	Ask func(c context.Context, ids []software.StreamID) Answer
 	// StoreReachable reports whether calls to the store have succeeded lately.
@@ -91,6 +93,7 @@
 	// storeAhead is the time of the store less that of the timer, if storeTimeKnown is set.
 	storeAhead     time.Duration
 	storeTimeKnown bool
+	era            eraState
 	records        records
 	// own is the row of the records of this instance.
 	own     *ownrow.Row
--- a/coordination/streams/streams_test.go
+++ b/coordination/streams/streams_test.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"maps"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -35,9 +37,15 @@
 	lifetime time.Duration
 	// age is the age of the splits.
 	age time.Duration
-	// registries are the instances by name, and unreachable those that do not answer others.
+	// mu guards registries, which are the instances by name, and left. Unreachable are those that do not answer others.
+	mu          sync.Mutex
 	registries  map[string]*streams.Registry
 	unreachable map[string]bool
+	// left are the instances that are known no more.
+	left map[string]bool
+	// peers is the number of other instances, if it is not 1. transactions counts those of the store.
+	peers        int
+	transactions atomic.Int64
 	// uptime is that of all instances.
 	uptime time.Duration
 	// failing are the kinds of calls to the store that fail. While hanging is set, all wait for hang to close.
@@ -47,7 +55,7 @@
 }
 
 func newFleet() *fleet {
-	return &fleet{store: memory.New(), clock: timer.New(), lifetime: time.Minute, registries: map[string]*streams.Registry{}, unreachable: map[string]bool{}, uptime: time.Hour, hang: make(chan struct{})}
+	return &fleet{store: memory.New(), clock: timer.New(), lifetime: time.Minute, registries: map[string]*streams.Registry{}, unreachable: map[string]bool{}, left: map[string]bool{}, uptime: time.Hour, hang: make(chan struct{})}
 }
 
 func (f *fleet) add(t *testing.T, name string) *streams.Registry {
@@ -57,23 +65,35 @@
 			return map[route.ServiceName]time.Duration{service: f.lifetime}
 		},
 		Serving: func(route.ServiceName) map[software.Version]int { return f.serving },
-		Ready:   func() bool { return false }, Responsible: func() bool { return true }, PeerCount: func() int { return 1 },
+		Ready:   func() bool { return false }, Responsible: func() bool { return true }, PeerCount: func() int { return max(1, f.peers) },
 		StoreReachable: func() bool { return true }, SplitAge: func() time.Duration { return f.age },
-		Ask: func(_ context.Context, ids []software.StreamID) streams.Answer { return f.ask(name, ids) },
+		Instances: f.instances,
+		Ask:       func(_ context.Context, ids []software.StreamID) streams.Answer { return f.ask(name, ids) },
 	})
+	f.mu.Lock()
 	f.registries[name] = r
+	f.mu.Unlock()
 	r.ObserveStoreTime(time.Hour)
 	f.read(t, r)
 	go r.Run(t.Context())
 	return r
 }
 
+// instances returns the names of the instances that have not left.
+func (f *fleet) instances() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.DeleteFunc(slices.Sorted(maps.Keys(f.registries)), func(n string) bool { return f.left[n] })
+}
+
 // ask asks all instances but the named one for streams.
 func (f *fleet) ask(name string, ids []software.StreamID) streams.Answer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	all := streams.Answer{Versions: map[software.StreamID]software.Version{}, Complete: true}
 	for other, r := range f.registries {
 		switch {
-		case other == name:
+		case other == name || f.left[other]:
 		case f.unreachable[other]:
 			all.Complete = false
 		default:
--- a/entry/streams.go
+++ b/entry/streams.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,6 +29,7 @@
 		Ready:   e.Ready, Responsible: func() bool { return e.coordinator(streams.SplitPrefix) == e.Name },
 		SplitAge:       func() time.Duration { return e.freshness[ownership.FleetTable].State(e.timer.Boot()).Age },
 		PeerCount:      func() int { return int(e.peers.Load()) },
+		Instances:      func() []string { return append(slices.Collect(maps.Keys(e.members.all())), e.Name) },
 		StoreReachable: func() bool { return !e.feeds[e.Tables.Upstreams].Contact().Unstable(e.timer.Boot()) },
 	})
 	e.Store.OnTime = e.streams.ObserveStoreTime
