dispatch, pool: new streams leave slots to those that can go on only there

Cause: a new stream may begin at any software version, and took each slot of the planned one to the end of the engines' queues.

New streams leave the last eighth of the slots while another version has more than that free, and a stream that has begun waits for a slot, for up to three quarters of the time for placing a request, while new ones begin elsewhere. With one version, or no room elsewhere, nothing changes.

TestResumedStreamWaitsForASlotOfItsSoftwareVersion failed before.

--- a/protocol/dispatch/place.go
+++ b/protocol/dispatch/place.go
@@ -37,6 +37,8 @@
 func (d *Dispatcher) place(c context.Context, j *job) (pool.Choice, error) {
 	tried, requested := map[pool.ID]bool{}, map[pool.ID]bool{}
 	deadline := j.placementDeadline(d.Timer.Boot())
+	wait := newSlotWait(d.Timer.Boot(), deadline)
+	defer d.endSlotWait(j, &wait)
 	for {
 		now := d.Timer.Boot()
 		if err := d.checkBlocked(j); err != nil {
@@ -56,6 +58,9 @@
 			d.backOff(c, j)
 			continue
 		}
+		if d.awaitSlot(c, j, &wait, h.ID) {
+			continue
+		}
 		if late := d.checkPredictedStart(j, h, now); late != nil {
 			return h, late
 		}
@@ -68,6 +73,11 @@
 					continue
 				}
 				h.ReadyIn = ready
+				// The owner has told what runs there.
+				if d.awaitSlot(c, j, &wait, h.ID) {
+					delete(requested, h.ID)
+					continue
+				}
 			}
 			d.countStart(j, h.ID)
 			return h, d.awaitAdapter(c, j, h.ID, h.ReadyIn)
--- a/protocol/dispatch/software.go
+++ b/protocol/dispatch/software.go
@@ -48,10 +48,11 @@
 }
 
 // choose chooses an upstream. The first events of a stream come from the planned software version, and
-// all others from the one that wrote them.
+// all others from the one that wrote them. New streams leave the last slots of a version to those that can go on
+// only there.
 //
 // Load pattern: upstreams of several software versions serve side by side, and those of one version are
-// overloaded or have all left.
+// overloaded, or have ended or left.
 func (d *Dispatcher) choose(j *job, q pool.Request, now time.Duration) (pool.Choice, bool) {
 	q.Software = j.software
 	planned := false
@@ -60,9 +61,15 @@
 	}
 	h, ok := d.Pool.Choose(q, now)
 	left := j.Arrived + j.route.Objective - now
-	if !planned || ok && h.StartsIn() <= left {
+	if !planned {
 		return h, ok
 	}
+	if ok && h.StartsIn() <= left {
+		if j.service.Engine == nil || !d.Pool.YieldsAt(h, now) || !d.Streams.MayDeviate(j.service.Name) {
+			return h, true
+		}
+		return d.chooseElsewhere(q, h, left, now), true
+	}
 	if !d.Streams.MayDeviate(j.service.Name) && d.Pool.Serves(j.service.Name, q.Software, now) {
 		return h, ok
 	}
@@ -73,6 +80,59 @@
 	return h, ok
 }
 
+// chooseElsewhere returns an upstream of another software version than the one that was chosen, if one has spare
+// slots and the response begins in time. An adapter is loaded for that only while streams wait that can go on at
+// that version alone.
+func (d *Dispatcher) chooseElsewhere(q pool.Request, h pool.Choice, left, now time.Duration) pool.Choice {
+	q.Software, q.Leave = "", h.Software
+	x, ok := d.Pool.Choose(q, now)
+	if !ok || x.StartsIn() > left || x.NeedsLoad && !d.Pool.HasWaits(h.Service, h.Software) {
+		return h
+	}
+	return x
+}
+
+const (
+	// slotWaitShare is the part of the time for placing a request for which it waits for a slot. After that it is
+	// sent all the same: the upstream may queue it.
+	slotWaitShare = 0.75
+	// slotPoll is the mean pause between two looks for a slot.
+	slotPoll = 25 * time.Millisecond
+)
+
+// slotWait is the wait of a request for a slot at the only software version that it can run at.
+type slotWait struct {
+	end time.Duration
+	// begun is set while the request counts as waiting.
+	begun bool
+}
+
+func newSlotWait(now, deadline time.Duration) slotWait {
+	return slotWait{end: now + time.Duration(float64(deadline-now)*slotWaitShare)}
+}
+
+// awaitSlot waits for a moment if a stream that has begun finds no slot at its software version, while new ones can
+// begin at another one and leave it the next slots. It reports whether the upstream has to be chosen again. Without
+// that wait the upstreams would reject most of the streams of one that has crashed, and retries would be used up.
+func (d *Dispatcher) awaitSlot(c context.Context, j *job, w *slotWait, id pool.ID) bool {
+	now := d.Timer.Boot()
+	if j.software == "" || j.service.Engine == nil || now >= w.end || d.Pool.SlotsLeft(id, now).Any() || !d.Pool.HasSpareElsewhere(j.service.Name, j.software, now) {
+		return false
+	}
+	if !w.begun {
+		w.begun = true
+		d.Pool.BeginWait(j.service.Name, j.software)
+		d.Log.Info("stream waits for a slot at its software version", zap.String("request", j.ID), zap.String("software", string(j.software)), zap.String("upstream", string(id)))
+	}
+	return d.Timer.Wait(c, time.Duration((0.5+d.Rand())*float64(slotPoll))) == nil
+}
+
+func (d *Dispatcher) endSlotWait(j *job, w *slotWait) {
+	if w.begun {
+		d.Pool.EndWait(j.service.Name, j.software)
+	}
+}
+
 // checkReplaced reports whether the engine that was chosen for the rest of a stream turns out to run
 // another process, whose software may differ. An engine with a rate limit is not asked.
 //
--- a/protocol/dispatch/software_test.go
+++ b/protocol/dispatch/software_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net/http"
 	"testing"
+	"time"
 
 	"gentiangauge.example/gentiangauge/protocol/dispatch"
 	"gentiangauge.example/gentiangauge/state/pool"
@@ -62,3 +63,36 @@
 		t.Errorf("begun with software %q, resumed with %q", first.Software, second.Software)
 	}
 }
+
+// A stream breaks off while the other engine of its software version is full and one of another version has room. It
+// is not sent to the full engine, which would reject it, before new streams have left it a slot.
+func TestResumedStreamWaitsForASlotOfItsSoftwareVersion(t *testing.T) {
+	b := newHarness(3)
+	b.setSoftware("v1", "v1", "v2")
+	const slots = 64
+	var running int
+	b.respond = func(n int, s dispatch.UpstreamRequest) (*dispatch.Response, error) {
+		if n > 1 {
+			running = b.pool.LocalUsage(s.Upstream.ID).Running
+			return stream(secondHalf, false), nil
+		}
+		other := map[pool.ID]pool.ID{"e0": "e1", "e1": "e0"}[s.Upstream.ID]
+		b.pool.Begin(other, adapter, pool.Usage{Running: slots})
+		go func() {
+			_ = b.timer.Wait(t.Context(), 100*time.Millisecond)
+			b.pool.End(other, adapter, pool.Usage{Running: 1})
+		}()
+		return stream(firstHalf, true), nil
+	}
+	b.pool.Begin("e2", adapter, pool.Usage{Running: slots / 2, PrefillTokens: 10_000})
+	w, err := b.serve("/chat/x")
+	if err != nil || w.Code != http.StatusOK {
+		t.Fatalf("status %d, %v", w.Code, err)
+	}
+	if running > slots {
+		t.Errorf("sent as the %dth request to an engine with %d slots", running, slots)
+	}
+	if b.pool.HasWaits("models", "v1") {
+		t.Error("the wait has not ended")
+	}
+}
--- a/state/pool/choose.go
+++ b/state/pool/choose.go
@@ -42,6 +42,9 @@
 	Spread Tag
 	// Software is the version of the software that the upstream must run, or empty for any.
 	Software software.Version
+	// Leave is a software version whose upstreams are left to other requests, or empty. Those of others need
+	// slots that are not kept for such requests.
+	Leave software.Version
 	// Exclude holds the upstreams that have already failed this request.
 	Exclude map[ID]bool
 	// CanLoad reports whether the engine has an owner that can order loads on it. Nil
@@ -144,6 +147,9 @@
 	if r.Software != "" && e.Software != r.Software {
 		return false
 	}
+	if r.Leave != "" && (e.Software == r.Leave || !e.slotsLeft(now).spare()) {
+		return false
+	}
 	if !e.verdict(now).Available() || now < max(e.health.backoffUntil, e.health.endedUntil) {
 		return false
 	}
--- a/state/pool/pool.go
+++ b/state/pool/pool.go
@@ -121,11 +121,13 @@
 	tags    map[Tag]*entry
 	// peers is the work that each peer has reported.
 	peers map[string][]Work
+	// waits counts the requests that wait for a slot at the only software version that they can run at.
+	waits map[boundTo]int
 }
 
 // New returns an empty pool.
 func New() *Pool {
-	return &Pool{entries: map[ID]*entry{}, tags: map[Tag]*entry{}, peers: map[string][]Work{}}
+	return &Pool{entries: map[ID]*entry{}, tags: map[Tag]*entry{}, peers: map[string][]Work{}, waits: map[boundTo]int{}}
 }
 
 // active reports whether the upstream has not been removed.
