dispatch: streams that wait for an adapter slot at their software version go first

The same class as the full engine before: a stream that waits for such a slot makes new ones begin at another version that has room.

TestResumedStreamWaitsForAnAdapterSlotOfItsSoftwareVersion failed before. The refusal names the stream that is taken up.

--- a/protocol/dispatch/dispatch.go
+++ b/protocol/dispatch/dispatch.go
@@ -327,7 +327,7 @@
 	}
 	f := []zap.Field{
 		zap.String("request", q.ID), zap.String("code", string(r.Code)), zap.Int("status", r.Status), zap.Stringer("run", r.Run),
-		zap.String("reason", r.Text), zap.Duration("age", d.Timer.Boot()-q.Arrived), zap.Duration("retry-after", r.RetryAfter),
+		zap.String("reason", r.Text), zap.Duration("age", d.Timer.Boot()-q.Arrived), zap.Duration("retry-after", r.RetryAfter), zap.String("resumes", q.Resumes),
 	}
 	f = append(f, d.versionFields(j)...)
 	if j != nil {
--- a/protocol/dispatch/place.go
+++ b/protocol/dispatch/place.go
@@ -91,6 +91,9 @@
 		d.countEnd(j, h.ID)
 		d.Log.Info("load refused", zap.String("request", j.ID), zap.String("upstream", string(h.ID)), zap.Error(err))
 		tried[h.ID] = true
+		if errors.Is(err, orders.ErrFull) {
+			d.beginSlotWait(j, &wait, h.ID)
+		}
 		d.deferEngine(h.ID, err)
 		if errors.Is(err, orders.ErrStoreBusy) || len(tried) >= maxLoadAttempts {
 			// The weight store is busy for all engines, or enough of them were tried.
--- a/protocol/dispatch/software.go
+++ b/protocol/dispatch/software.go
@@ -116,7 +116,16 @@
 // that wait the upstreams would reject most of the streams of one that has crashed, and retries would be used up.
 func (d *Dispatcher) awaitSlot(c context.Context, j *job, w *slotWait, id pool.ID) bool {
 	now := d.Timer.Boot()
-	if j.software == "" || j.service.Engine == nil || now >= w.end || d.Pool.SlotsLeft(id, now).Any() || !d.Pool.HasSpareElsewhere(j.service.Name, j.software, now) {
+	if now >= w.end || d.Pool.SlotsLeft(id, now).Any() || !d.beginSlotWait(j, w, id) {
+		return false
+	}
+	return d.Timer.Wait(c, time.Duration((0.5+d.Rand())*float64(slotPoll))) == nil
+}
+
+// beginSlotWait has new streams leave the software version of a stream that has begun, if they can begin at another
+// one. The stream has found no slot for itself or for its adapter at an upstream.
+func (d *Dispatcher) beginSlotWait(j *job, w *slotWait, id pool.ID) bool {
+	if j.software == "" || j.service.Engine == nil || !d.Pool.HasSpareElsewhere(j.service.Name, j.software, d.Timer.Boot()) {
 		return false
 	}
 	if !w.begun {
@@ -124,7 +133,7 @@
 		d.Pool.BeginWait(j.service.Name, j.software)
 		d.Log.Info("stream waits for a slot at its software version", zap.String("request", j.ID), zap.String("software", string(j.software)), zap.String("upstream", string(id)))
 	}
-	return d.Timer.Wait(c, time.Duration((0.5+d.Rand())*float64(slotPoll))) == nil
+	return true
 }
 
 func (d *Dispatcher) endSlotWait(j *job, w *slotWait) {
--- a/protocol/dispatch/software_test.go
+++ b/protocol/dispatch/software_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"gentiangauge.example/gentiangauge/coordination/orders"
 	"gentiangauge.example/gentiangauge/protocol/dispatch"
 	"gentiangauge.example/gentiangauge/state/pool"
 	"gentiangauge.example/gentiangauge/state/software"
@@ -96,3 +97,39 @@
 		t.Error("the wait has not ended")
 	}
 }
+
+// A stream breaks off, and the other engine of its software version has no slot for its adapter, while one of another
+// version has room. New streams leave the version as long as it waits for that slot.
+func TestResumedStreamWaitsForAnAdapterSlotOfItsSoftwareVersion(t *testing.T) {
+	b := newHarness(3)
+	b.setSoftware("v1", "v1", "v2")
+	waits := 0
+	b.respond = func(n int, s dispatch.UpstreamRequest) (*dispatch.Response, error) {
+		if n > 1 {
+			return stream(secondHalf, false), nil
+		}
+		b.pool.Remove(s.Upstream.ID, b.timer.Boot())
+		loads := 0
+		b.load = func() (time.Duration, error) {
+			if b.pool.HasWaits("models", "v1") {
+				waits++
+			}
+			if loads++; loads < 3 {
+				return 0, orders.ErrFull
+			}
+			return 0, nil
+		}
+		return stream(firstHalf, true), nil
+	}
+	b.pool.Begin("e2", adapter, pool.Usage{Running: 32, PrefillTokens: 10_000})
+	w, err := b.serve("/chat/x")
+	if err != nil || w.Code != http.StatusOK {
+		t.Fatalf("status %d, %v", w.Code, err)
+	}
+	if waits == 0 {
+		t.Error("new streams did not leave the version")
+	}
+	if b.pool.HasWaits("models", "v1") {
+		t.Error("the wait has not ended")
+	}
+}
