paths: instances that stand still do not hide the end of an upstream

Cause: HasEnded asked up to three other instances one after the other, and one that does not answer took most of the time for all. No answer then counted as the life of the upstream.

Up to five instances are asked at once, and the first that answer decide. If none answers, a refused connection counts if another upstream accepts one.

--- a/coordination/paths/paths.go
+++ b/coordination/paths/paths.go
@@ -5,13 +5,16 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/singleflight"
 
 	"gentiangauge.example/gentiangauge/state/reach"
 	"gentiangauge.example/gentiangauge/timer"
@@ -67,6 +70,8 @@
 	// lastHeard is the value of heard that was last seen to change, at lastHeardAt. Only step uses them.
 	lastHeard   int64
 	lastHeardAt time.Duration
+	// questions are those whether a process has ended, by its address.
+	questions singleflight.Group
 }
 
 // New returns the Paths of an instance that has sent nothing yet.
@@ -129,13 +134,39 @@
 // DialIndirect opens a connection to an upstream through another instance. It fails with the error of the
 // last instance that was asked.
 func (p *Paths) DialIndirect(c context.Context, _, address string) (net.Conn, error) {
-	n, _, err := p.dialIndirect(c, address, true)
-	return n, err
+	c, cancel := context.WithTimeout(c, indirectTimeout)
+	defer cancel()
+	var err error = &net.OpError{Op: "dial", Err: syscall.EHOSTUNREACH}
+	var failed []string
+	for _, f := range p.forwarders(true, maxForwarders) {
+		n, x := f.Dial(c, address)
+		if x == nil {
+			p.recordIndirect(address, failed)
+			return n, nil
+		}
+		err, failed = x, append(failed, f.Name)
+		if c.Err() != nil {
+			break
+		}
+	}
+	return nil, err
+}
+
+// recordIndirect records that an instance could connect to an upstream to which some could not.
+func (p *Paths) recordIndirect(address string, failed []string) {
+	p.record(address, func(now time.Duration) {
+		if p.reach.RecordIndirect(address, now) {
+			go p.verify(address)
+		}
+		for _, name := range failed {
+			p.cutOff[name] = now + cutOffTime
+		}
+	})
 }
 
-// forwarders returns the instances to ask for one connection. The first two are of different availability
+// forwarders returns the instances to ask for one connection, and most of them at most. The first two are of different availability
 // zones, since the links of a whole zone may be cut, the first one of this zone if near is set.
-func (p *Paths) forwarders(near bool) []Forwarder {
+func (p *Paths) forwarders(near bool, most int) []Forwarder {
 	all, now := p.Forwarders(), p.Timer.Boot()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -155,61 +186,48 @@
 		first = first[:1]
 	}
 	out := append(append(first, second...), last...)
-	return out[:min(len(out), maxForwarders)]
+	return out[:min(len(out), most)]
 }
 
-// dialIndirect opens a connection to an upstream through another instance. It returns the number of instances
-// to which the connection was refused.
-func (p *Paths) dialIndirect(c context.Context, address string, near bool) (conn net.Conn, refusals int, err error) {
-	c, cancel := context.WithTimeout(c, indirectTimeout)
-	defer cancel()
-	err = &net.OpError{Op: "dial", Err: syscall.EHOSTUNREACH}
-	var failed []string
-	for _, f := range p.forwarders(near) {
-		n, x := f.Dial(c, address)
-		if x == nil {
-			p.record(address, func(now time.Duration) {
-				if p.reach.RecordIndirect(address, now) {
-					go p.verify(address)
-				}
-				for _, name := range failed {
-					p.cutOff[name] = now + cutOffTime
-				}
-			})
-			return n, refusals, nil
-		}
-		err, failed = x, append(failed, f.Name)
-		if errors.Is(x, syscall.ECONNREFUSED) {
-			refusals++
-		}
-		if c.Err() != nil {
-			break
-		}
-	}
-	return nil, refusals, err
-}
-
-// minRefusals is the number of other instances whose connections the host of an ended process must refuse, if
-// this instance cannot reach that host.
-const minRefusals = 2
+const (
+	// minRefusals is the number of other instances whose connections the host of an ended process must refuse, if
+	// this instance cannot reach that host.
+	minRefusals = 2
+	// maxWitnesses is the number of instances that are asked whether a process has ended, all at once: some may
+	// stand still, or be connected by connections that are silent.
+	maxWitnesses = 5
+	// witnessSettle is how long the others may still contradict those that suffice.
+	witnessSettle = 150 * time.Millisecond
+	// maxReferences is the number of other upstreams that are tried if no instance answers.
+	maxReferences = 3
+)
 
 // HasEnded reports whether the process at an address has ended: its host refuses connections, also those of
-// other instances, if there are any. Instances of another availability zone are asked first, since the
-// links of a whole zone may be cut.
+// other instances, if there are any. Calls at the same time for one address share the answer.
 //
-// Load pattern: requests that crash upstreams come at instances that are cut off from them, whose direct
-// connections hang.
+// Load patterns: requests that crash upstreams come at instances that are cut off from them, whose direct
+// connections hang; other instances stand still meanwhile.
 func (p *Paths) HasEnded(c context.Context, address string) bool {
+	x := make(chan bool, 1)
+	go func() {
+		v, _, _ := p.questions.Do(address, func() (any, error) { return p.askEnded(context.WithoutCancel(c), address), nil })
+		ended, _ := v.(bool)
+		x <- ended
+	}()
+	select {
+	case ended := <-x:
+		return ended
+	case <-c.Done():
+		return false
+	}
+}
+
+func (p *Paths) askEnded(c context.Context, address string) bool {
 	refused := false
 	// A direct connection that is known to hang would only take time, in which the process may start again.
 	if !p.Indirect(address) {
-		x, cancel := context.WithTimeout(c, probeTimeout)
-		defer cancel()
-		n, err := p.Dial(x, "tcp", address)
+		err := p.try(c, address)
 		if err == nil {
-			_ = n.Close()
-		}
-		if err == nil || c.Err() != nil {
 			return false
 		}
 		p.RecordDirect(address, err)
@@ -218,22 +236,93 @@
 	if refused && len(p.Forwarders()) == 0 {
 		return true
 	}
-	n, refusals, err := p.dialIndirect(c, address, false)
-	if err == nil {
-		_ = n.Close()
+	connected, refusals, silent := p.askWitnesses(c, address, refused)
+	switch {
+	case connected:
+		return false
+	case refused && silent:
+		// This instance is the only witness, and a cut might have its connections refused.
+		return p.reachesAnother(c, address)
 	}
-	return errors.Is(err, syscall.ECONNREFUSED) && (refused || refusals >= minRefusals)
+	return refused && refusals > 0 || refusals >= minRefusals
 }
 
-// verify tries a direct connection once more, and records its outcome.
-func (p *Paths) verify(address string) {
-	c, cancel := context.WithTimeout(context.Background(), probeTimeout)
+// try opens a direct connection and closes it.
+func (p *Paths) try(c context.Context, address string) error {
+	x, cancel := context.WithTimeout(c, probeTimeout)
 	defer cancel()
-	n, err := p.Dial(c, "tcp", address)
+	n, err := p.Dial(x, "tcp", address)
 	if err == nil {
 		_ = n.Close()
 	}
-	p.RecordDirect(address, err)
+	return err
+}
+
+// askWitnesses has other instances connect to an upstream. It returns whether one has, the number of those whose
+// connection was refused, and whether none has answered at all. It ends early once the refusals suffice.
+func (p *Paths) askWitnesses(c context.Context, address string, refused bool) (connected bool, refusals int, silent bool) {
+	c, cancel := context.WithTimeout(c, indirectTimeout)
+	defer cancel()
+	witnesses := p.forwarders(false, maxWitnesses)
+	answers := make(chan error, len(witnesses))
+	for _, f := range witnesses {
+		go func() {
+			n, err := f.Dial(c, address)
+			if err == nil {
+				_ = n.Close()
+			}
+			answers <- err
+		}()
+	}
+	enough := minRefusals
+	if refused {
+		enough = 1
+	}
+	var settled <-chan struct{}
+	for range witnesses {
+		select {
+		case err := <-answers:
+			switch {
+			case err == nil:
+				p.recordIndirect(address, nil)
+				return true, refusals, false
+			case errors.Is(err, syscall.ECONNREFUSED):
+				refusals++
+			}
+		case <-settled:
+			return false, refusals, false
+		case <-c.Done():
+			return false, refusals, refusals == 0
+		}
+		if refusals >= enough && settled == nil {
+			x, stop := context.WithTimeout(c, witnessSettle)
+			defer stop()
+			settled = x.Done()
+		}
+	}
+	return false, refusals, refusals == 0
+}
+
+// reachesAnother reports whether a direct connection to another upstream can be opened.
+func (p *Paths) reachesAnother(c context.Context, address string) bool {
+	others := slices.DeleteFunc(slices.Clone(p.Addresses()), func(a string) bool { return a == address })
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	others = others[:min(len(others), maxReferences)]
+	answers := make(chan error, len(others))
+	for _, a := range others {
+		go func() { answers <- p.try(c, a) }()
+	}
+	for range others {
+		if <-answers == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// verify tries a direct connection once more, and records its outcome.
+func (p *Paths) verify(address string) {
+	p.RecordDirect(address, p.try(context.Background(), address))
 }
 
 func (p *Paths) step(c context.Context) {
@@ -253,14 +342,12 @@
 
 // probe tries a direct connection and, if that fails for the first time, one through another instance.
 func (p *Paths) probe(c context.Context, address string) {
-	x, cancel := context.WithTimeout(c, probeTimeout)
-	defer cancel()
-	n, err := p.Dial(x, "tcp", address)
+	err := p.try(c, address)
 	p.RecordDirect(address, err)
-	if err != nil && !p.Indirect(address) {
-		n, err = p.DialIndirect(c, "tcp", address)
+	if err == nil || p.Indirect(address) {
+		return
 	}
-	if err == nil {
+	if n, err := p.DialIndirect(c, "tcp", address); err == nil {
 		_ = n.Close()
 	}
 }
--- a/coordination/paths/paths_test.go
+++ b/coordination/paths/paths_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"slices"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -25,12 +27,19 @@
 	*paths.Paths
 	// direct is the outcome of a direct connection, near and far those of forwarders in this and in other
 	// availability zones.
-	direct     error
-	near, far  []error
+	direct    error
+	near, far []error
+	// mu guards asked. A forwarder that stands still answers when the call ends.
+	mu         sync.Mutex
 	asked      []string
 	strandedAt []bool
+	// others are the outcomes of direct connections to further upstreams, by address.
+	others map[string]error
 }
 
+// errStandsStill is the outcome of a forwarder that does not answer.
+var errStandsStill = errors.New("stands still")
+
 func newTestPaths() *testPaths {
 	x := &testPaths{}
 	open := func(err error) (net.Conn, error) {
@@ -42,14 +51,24 @@
 		return a, nil
 	}
 	x.Paths = paths.New(paths.Services{
-		Timer: timer.New(), Log: zap.NewNop(), Addresses: func() []string { return []string{address} },
-		Dial: func(context.Context, string, string) (net.Conn, error) { return open(x.direct) },
+		Timer: timer.New(), Log: zap.NewNop(), Addresses: func() []string { return append(slices.Collect(maps.Keys(x.others)), address) },
+		Dial: func(_ context.Context, _, a string) (net.Conn, error) {
+			if a != address {
+				return open(x.others[a])
+			}
+			return open(x.direct)
+		},
 		Forwarders: func() (out []paths.Forwarder) {
 			for near, l := range map[bool][]error{true: x.near, false: x.far} {
 				for i, err := range l {
 					name := fmt.Sprint(map[bool]string{true: "near", false: "far"}[near], i)
-					out = append(out, paths.Forwarder{Name: name, Near: near, Dial: func(context.Context, string) (net.Conn, error) {
+					out = append(out, paths.Forwarder{Name: name, Near: near, Dial: func(c context.Context, _ string) (net.Conn, error) {
+						x.mu.Lock()
 						x.asked = append(x.asked, name)
+						x.mu.Unlock()
+						if err == errStandsStill {
+							<-c.Done()
+						}
 						return open(err)
 					}})
 				}
@@ -91,6 +110,34 @@
 	}
 }
 
+// An upstream ends while three of the four other instances stand still. The one that answers is asked, whichever it is.
+func TestEndOfAnUpstreamIsSeenThoughInstancesStandStill(t *testing.T) {
+	for i := range 4 {
+		x := newTestPaths()
+		x.direct, x.far = syscall.ECONNREFUSED, []error{errStandsStill, errStandsStill, errStandsStill, errStandsStill}
+		x.far[i] = syscall.ECONNREFUSED
+		if !x.HasEnded(t.Context(), address) {
+			t.Errorf("the end is not seen if instance %d answers", i)
+		}
+		x.far[i] = nil
+		if x.HasEnded(t.Context(), address) {
+			t.Errorf("an end is seen though instance %d connects", i)
+		}
+	}
+}
+
+// No other instance answers. A refused connection is the end of an upstream if another one accepts connections, and
+// may be a cut of this instance if none does.
+func TestEndOfAnUpstreamIsSeenWithoutOtherInstances(t *testing.T) {
+	for want, other := range map[bool]error{true: nil, false: syscall.ECONNREFUSED} {
+		x := newTestPaths()
+		x.direct, x.far, x.others = syscall.ECONNREFUSED, []error{errStandsStill, errSilent}, map[string]error{"10.0.0.2:80": other}
+		if got := x.HasEnded(t.Context(), address); got != want {
+			t.Errorf("ended %v with a direct connection to another upstream that ends with %v", got, other)
+		}
+	}
+}
+
 // The links of a whole availability zone are cut. A forwarder of another zone is asked for each connection,
 // and those that could not connect are asked last then.
 func TestForwardersOfAnotherZoneAreAsked(t *testing.T) {
