dispatch, suspicion: the end of an upstream that shows later is evidence

A request that breaks off while nobody can tell whether its upstream has ended left no evidence outside a trial, nor did a caller that left: over connections that are silent, the upstream is often back before anyone asks.

If the row then shows an unplanned end of the process, which has given no response since, they are evidence as those that are settled at once.

TestEndThatShowsLaterIsEvidence and TestEndAfterTheCallerHasLeftIsEvidence have the case; there was no such function before.

--- a/entry/rows.go
+++ b/entry/rows.go
@@ -143,8 +143,11 @@
 			log("upstream", zap.String("id", r.Key), zap.String("service", string(u.Service)), zap.String("address", u.Address),
 				zap.Bool("draining", u.Draining), zap.Int("slots", u.Slots), zap.Int64("born", u.StartedAt), zap.String("software", string(u.Software)), zap.Int64("row-version", int64(r.Version)))
 		}
-		if old, known := e.pool.Get(u.ID, now); known && old.StartedAt != u.StartedAt && old.Software != u.Software {
-			e.streams.Doubt(r.Key, old.Software)
+		if old, known := e.pool.Get(u.ID, now); known && old.StartedAt != u.StartedAt {
+			e.recordEnded(old)
+			if old.Software != u.Software {
+				e.streams.Doubt(r.Key, old.Software)
+			}
 		}
 		if settlesIn > 0 {
 			e.pool.PutUnconfirmed(u, now, now+settlesIn+expiryTime)
@@ -173,9 +176,19 @@
 	return e.log.Debug
 }
 
+// recordEnded has the dispatcher know that the process of an upstream has ended, unless that was planned.
+func (e *Entry) recordEnded(u pool.Upstream) {
+	if v := e.pool.Admits(u, e.timer.Boot()); v != pool.Leaving {
+		e.Dispatcher.RecordEnded(e.ctx, u)
+	}
+}
+
 // removeUpstream removes an upstream from the pool after settlesIn, within which its row may
 // reappear.
 func (e *Entry) removeUpstream(id pool.ID, now, settlesIn time.Duration) {
+	if u, known := e.pool.Get(id, now); known && settlesIn == 0 {
+		e.recordEnded(u)
+	}
 	e.pool.Remove(id, now+settlesIn)
 	e.log.Info("upstream gone", zap.String("id", string(id)), zap.Duration("in", settlesIn))
 }
--- a/protocol/dispatch/attempt.go
+++ b/protocol/dispatch/attempt.go
@@ -179,6 +179,7 @@
 	}
 	defer a.Body.Close()
 	d.Pool.RecordResponse(id)
+	d.recordAlive(j.choice.Upstream)
 	d.Admission.ApplyNotice(j.choice.Upstream, a.Notice, j.ID)
 	if err := d.checkResponse(j, a); err != nil {
 		return err
@@ -243,6 +244,7 @@
 	now := d.Timer.Boot()
 	if c.Err() != nil {
 		j.runs++
+		d.recordUnsettled(j)
 		return eris.Wrap(context.Cause(c), "caller disconnected or deadline passed")
 	}
 	outdated := j.outdated.Load()
--- a/protocol/dispatch/crash.go
+++ b/protocol/dispatch/crash.go
@@ -122,7 +122,9 @@
 	if !ended {
 		if j.trial != 0 && !j.sound {
 			d.Suspects.RecordUnresolved(c, string(u.ID), j.parts())
+			return
 		}
+		d.recordUnsettled(j)
 		return
 	}
 	parts := j.parts()
@@ -131,3 +133,26 @@
 	}
 	d.Suspects.RecordCrash(c, suspicion.Crash{Upstream: string(u.ID), StartedAt: u.StartedAt}, parts, j.trial != 0)
 }
+
+// recordUnsettled records that the present send broke off, or was given up, while it is not known whether its
+// upstream has ended. RecordEnded tells that later.
+func (d *Dispatcher) recordUnsettled(j *job) {
+	if u := j.choice.Upstream; !j.sound {
+		d.breaks.Add(suspicion.Evidence{Crash: suspicion.Crash{Upstream: string(u.ID), StartedAt: u.StartedAt}, Parts: j.parts()}, d.Timer.Boot())
+	}
+}
+
+// RecordEnded records that the process of an upstream has ended, as its row shows, and was not about to. The
+// requests that broke off there shortly before may be the cause.
+func (d *Dispatcher) RecordEnded(c context.Context, u pool.Upstream) {
+	x := suspicion.Crash{Upstream: string(u.ID), StartedAt: u.StartedAt}
+	for _, e := range d.breaks.Ended(x, d.Timer.Boot()) {
+		d.Log.Info("upstream has ended under a request that broke off before", zap.String("upstream", x.Upstream), zap.Int64("born", x.StartedAt), zap.Stringers("parts", e.Parts))
+		d.Suspects.RecordCrash(c, x, e.Parts, false)
+	}
+}
+
+// recordAlive records that the process of an upstream has given a response.
+func (d *Dispatcher) recordAlive(u pool.Upstream) {
+	d.breaks.Alive(suspicion.Crash{Upstream: string(u.ID), StartedAt: u.StartedAt})
+}
--- a/protocol/dispatch/crash_test.go
+++ b/protocol/dispatch/crash_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -176,3 +177,67 @@
 		}
 	}
 }
+
+// endsLater has a request break off at an upstream, and returns the status of the request once the rows of two
+// upstreams have shown that they ended. Between is called after each break.
+func endsLater(b *harness, breakOff, between func()) suspicion.Status {
+	b.parts = crashingParts
+	for range 2 {
+		breakOff()
+		between()
+		for _, u := range b.pool.Upstreams(b.timer.Boot()) {
+			if u.Service == "orders" {
+				b.d.RecordEnded(context.Background(), u)
+				u.StartedAt++
+				b.pool.Put(u)
+			}
+		}
+	}
+	s, _ := b.suspects.Status(crashingParts)
+	return s
+}
+
+// An upstream crashes under a request, and nobody can tell at first: connections to other instances are silent. Its
+// row shows the end later.
+func TestEndThatShowsLaterIsEvidence(t *testing.T) {
+	b := newHarness(1)
+	b.respond = crashes
+	if s := endsLater(b, func() { _, _ = b.serve("/look/x") }, func() {}); s != suspicion.Suspected {
+		t.Errorf("the request is %v", s)
+	}
+}
+
+// A connection breaks, the same process answers another request, and ends later for another reason.
+func TestEndAfterAResponseIsNoEvidence(t *testing.T) {
+	b := newHarness(1)
+	b.respond = crashes
+	s := endsLater(b, func() { _, _ = b.serve("/look/x") }, func() {
+		b.respond, b.parts = func(int, dispatch.UpstreamRequest) (*dispatch.Response, error) {
+			return response(http.StatusOK, "done"), nil
+		}, nil
+		if _, err := b.serve("/pay/x"); err != nil {
+			t.Fatal(err)
+		}
+		b.respond, b.parts = crashes, crashingParts
+	})
+	if s != suspicion.Clean {
+		t.Errorf("the request is %v", s)
+	}
+}
+
+// A caller leaves before an upstream has answered, and the upstream turns out to have ended.
+func TestEndAfterTheCallerHasLeftIsEvidence(t *testing.T) {
+	b := newHarness(1)
+	s := endsLater(b, func() {
+		c, leave := context.WithCancel(context.Background())
+		b.respond = func(int, dispatch.UpstreamRequest) (*dispatch.Response, error) {
+			leave()
+			return nil, relay.ErrConnectionBroken
+		}
+		q := &dispatch.Request{ID: "r1", Method: http.MethodGet, Host: "h", Path: "/look/x", Target: "/look/x", Header: http.Header{}, Key: "key", Arrived: b.timer.Boot(), Timeout: callerTimeout, Parts: crashingParts}
+		_ = b.d.Serve(c, httptest.NewRecorder(), q)
+	}, func() {})
+	if s != suspicion.Suspected {
+		t.Errorf("the request is %v", s)
+	}
+}
--- a/protocol/dispatch/dispatch.go
+++ b/protocol/dispatch/dispatch.go
@@ -176,6 +176,7 @@
 // Dispatcher handles callers' requests.
 type Dispatcher struct {
 	Services
+	breaks   suspicion.Breaks
 	settings atomic.Pointer[Settings]
 }
 
--- a/protocol/dispatch/forward.go
+++ b/protocol/dispatch/forward.go
@@ -82,6 +82,7 @@
 // errTryAnother unless the caller disconnected or the deadline passed.
 func (d *Dispatcher) handleTruncation(c context.Context, j *job, err error) error {
 	if c.Err() != nil {
+		d.recordUnsettled(j)
 		return eris.Wrap(context.Cause(c), "caller disconnected or deadline passed")
 	}
 	if j.outdated.Load() {
