feed, platform: a wait for changes on a dead connection is asked again

Cause: a wait was asked again only after a silence of the store as a whole, which calls on new connections kept from happening, and then got an idle connection that was as dead. The wait itself lasted up to 11 s. That a reader held rows back is ruled out: all six readers install it within 5 ms.

TestChangeIsInForceThoughWaitsForChangesAreDead failed before.

--- a/coordination/feed/feed.go
+++ b/coordination/feed/feed.go
@@ -145,8 +145,12 @@
 	return nil
 }
 
-// errAskAgain means that a wait for changes was ended because its call may be lost.
-var errAskAgain = eris.New("the store answers again after a silence")
+// errAskAgain means that a wait for changes was ended because its call is lost, or may be.
+var errAskAgain = eris.New("the store answers other calls")
+
+// minWait is the time after which a wait for changes that fails has lost its connection if the store has answered
+// other calls lately. One that fails sooner may be refused at once again.
+const minWait = time.Second
 
 // watch waits for changes after a version, until a newer era is known or the store answers after a silence: it may
 // have passed that version again, or have lost the call, and would then answer only at the next change or never.
@@ -163,8 +167,16 @@
 		case <-x.Done():
 		}
 	}()
+	began := f.timer.Boot()
 	rows, v, err := f.store.Watch(x, f.Table, after)
-	if err == nil || c.Err() != nil || x.Err() == nil {
+	if err == nil || c.Err() != nil {
+		return rows, v, err
+	}
+	if x.Err() == nil {
+		if errors.Is(err, store.ErrUnavailable) && f.timer.Boot()-began >= minWait && f.store.Outages.Silence() < store.MaxSilence {
+			f.log.Info("wait for changes has lost its connection", zap.Int64("after", int64(after)), zap.Error(err))
+			return nil, 0, errAskAgain
+		}
 		return rows, v, err
 	}
 	select {
