relay, dispatch, caller: bodies that are buffered share a bound of memory

Other operators report a process that ran out of memory as an upstream sent bytes without end.

All buffered bodies, and the unfinished events of streams, now share 24 MiB of an instance, at both front doors. The first 64 KiB of each are free.

TestManyUnboundedResponsesLeaveMemory failed before.

--- a/protocol/caller/forward.go
+++ b/protocol/caller/forward.go
@@ -10,7 +10,6 @@
 
 	"gentiangauge.example/gentiangauge/refusal"
 	"gentiangauge.example/gentiangauge/state/lists"
-	"gentiangauge.example/gentiangauge/transport/relay"
 )
 
 const (
@@ -75,7 +74,9 @@
 // forwardBuffered reads a non-streamed response completely before it sends any of it, so
 // that a truncated response never reaches the caller and the request can be retried.
 func (s *Server) forwardBuffered(w http.ResponseWriter, g *generation, a *http.Response) error {
-	body, err := relay.ReadAll(a.Body, maxResponseBytes)
+	x := s.buffers.Buffer()
+	defer x.Release()
+	body, err := x.ReadAll(a.Request.Context(), a.Body, maxResponseBytes)
 	if err != nil {
 		return truncatedResponse()
 	}
--- a/protocol/caller/server.go
+++ b/protocol/caller/server.go
@@ -54,6 +54,7 @@
 	config   *settings.Settings
 	inFlight *inFlightRequests
 	budget   *retryBudget
+	buffers  *relay.Buffers
 	draining atomic.Bool
 	lastID   atomic.Uint64
 	idPrefix string
@@ -70,7 +71,7 @@
 	s.Log = s.Log.Named("caller")
 	b := make([]byte, idPrefixBytes)
 	_, _ = rand.Read(b)
-	return &Server{Services: s, config: c, inFlight: newInFlightRequests(), budget: newRetryBudget(c.Caller.RetryPercent), idPrefix: hex.EncodeToString(b)}
+	return &Server{Services: s, config: c, inFlight: newInFlightRequests(), buffers: relay.NewBuffers(), budget: newRetryBudget(c.Caller.RetryPercent), idPrefix: hex.EncodeToString(b)}
 }
 
 // Handler returns the handler of all routes.
--- a/protocol/caller/service.go
+++ b/protocol/caller/service.go
@@ -224,7 +224,9 @@
 			return idempotency.Answer{}, true, err
 		}
 		defer answer.Body.Close()
-		b, err := relay.ReadAll(answer.Body, maxRecordedResponseBytes)
+		x := s.buffers.Buffer()
+		defer x.Release()
+		b, err := x.ReadAll(c, answer.Body, maxRecordedResponseBytes)
 		if err != nil {
 			return idempotency.Answer{}, true, relay.ErrConnectionBroken
 		}
--- a/protocol/dispatch/dispatch.go
+++ b/protocol/dispatch/dispatch.go
@@ -28,6 +28,7 @@
 	"gentiangauge.example/gentiangauge/state/software"
 	"gentiangauge.example/gentiangauge/state/suspicion"
 	"gentiangauge.example/gentiangauge/timer"
+	"gentiangauge.example/gentiangauge/transport/relay"
 )
 
 // Request is a caller's request with its complete body.
@@ -177,13 +178,14 @@
 type Dispatcher struct {
 	Services
 	breaks   suspicion.Breaks
+	buffers  *relay.Buffers
 	settings atomic.Pointer[Settings]
 }
 
 // New returns a dispatcher.
 func New(s Settings, v Services) *Dispatcher {
 	v.Log = v.Log.Named("dispatch")
-	d := &Dispatcher{Services: v}
+	d := &Dispatcher{Services: v, buffers: relay.NewBuffers()}
 	d.Reload(s)
 	return d
 }
--- a/protocol/dispatch/forward.go
+++ b/protocol/dispatch/forward.go
@@ -55,7 +55,9 @@
 // forwardBuffered buffers a response until it is complete, so that the caller never
 // receives a truncated one.
 func (d *Dispatcher) forwardBuffered(c context.Context, w http.ResponseWriter, j *job, a *Response, first func() bool) error {
-	b, err := relay.ReadAll(a.Body, maxBufferedBytes)
+	x := d.buffers.Buffer()
+	defer x.Release()
+	b, err := x.ReadAll(c, a.Body, maxBufferedBytes)
 	if err != nil {
 		return d.handleTruncation(c, j, err)
 	}
@@ -98,6 +100,8 @@
 // forwardStream forwards events as they arrive, each one only when it is complete.
 func (d *Dispatcher) forwardStream(c context.Context, w http.ResponseWriter, j *job, a *Response, first func() bool) error {
 	var pending []byte
+	x := d.buffers.Buffer()
+	defer x.Release()
 	buf := make([]byte, readBufferBytes)
 	flush := http.NewResponseController(w)
 	resumes, seen := j.sequence.last != "", false
@@ -124,12 +128,15 @@
 			if j.events += countEvents(events); j.events >= soundEvents {
 				d.recordSound(c, j)
 			}
-			if x := d.forwardEvents(w, flush, j, a, events); x != nil {
-				return x
+			if err := d.forwardEvents(w, flush, j, a, events); err != nil {
+				return err
 			}
 		}
 		pending = append(pending[:0], pending[complete:]...)
+		tooLarge := x.Grow(c, int64(cap(pending)))
 		switch {
+		case tooLarge != nil:
+			return d.handleTruncation(c, j, tooLarge)
 		case len(pending) > maxEventBytes:
 			return d.handleTruncation(c, j, eris.Wrapf(relay.ErrResponseTooLarge, "an event of over %d bytes", maxEventBytes))
 		case err == nil:
