dispatch: requests are answered before the instance stops

Other operators report requests that were taken late in a planned stop and cut at its end without an answer, among them some that must not be repeated.

A request that must not be repeated is refused, as not run, if its deadline lies behind the end of the stop. All others get that end, less 0.2 s, as their deadline, those that were admitted before the stop, too.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -312,6 +312,7 @@
 func (e *Entry) Leave(d time.Duration) {
 	e.stopsAt.Store(int64(e.timer.Boot() + d))
 	e.leaving.Store(true)
+	e.Dispatcher.BeginStop()
 	e.ownership.Leave()
 	e.gossip.Send()
 }
--- a/protocol/dispatch/admit.go
+++ b/protocol/dispatch/admit.go
@@ -17,6 +17,8 @@
 	// stoppingRetryAfter is the Retry-After while the instance is stopping. It is
 	// short, because the caller reconnects to another instance.
 	stoppingRetryAfter = 20 * time.Millisecond
+	// stopMargin is how long before the instance stops the last requests are answered.
+	stopMargin = 200 * time.Millisecond
 	// assumedFirstEvent and assumedStepsPerToken are the assumed time to the first
 	// event and number of engine steps per output token of a stream that has to end
 	// before the instance stops.
@@ -74,21 +76,30 @@
 	return j, d.chargeUnits(j)
 }
 
-// checkStopTime refuses a stream that would not end before the instance stops, so that
-// the caller starts it on another instance.
+// checkStopTime refuses a request that may not end before the instance stops, so that the caller sends it to another
+// instance: a stream that would not, and a request that must not be repeated and may take longer. The others get
+// their answer by then.
 //
 // Load pattern: instances are stopped one after the other while callers that have not
 // noticed it yet send long requests.
 func (d *Dispatcher) checkStopTime(j *job) error {
-	end, now := d.StopsAt(), d.Timer.Boot()
-	if end == 0 || j.route.Kind != route.Stream {
+	stop, now := d.StopsAt(), d.Timer.Boot()
+	if stop == 0 {
 		return nil
 	}
-	need := assumedFirstEvent + assumedStepsPerToken*d.settings.Load().Capacity.StepTime*time.Duration(j.OutputTokens)
-	if need <= end-now {
-		return nil
+	end := stop - stopMargin
+	switch {
+	case j.route.Kind == route.Stream:
+		need := assumedFirstEvent + assumedStepsPerToken*d.settings.Load().Capacity.StepTime*time.Duration(j.OutputTokens)
+		if need > stop-now {
+			return refusal.Later(refusal.InstanceLeaving, stoppingRetryAfter, "the answer may take %v, the instance stops in %v", need, stop-now)
+		}
+	case !j.route.Repeatable() && j.deadline > end:
+		return refusal.Later(refusal.InstanceLeaving, stoppingRetryAfter, "the answer may take %v, the instance stops in %v", j.deadline-now, stop-now)
 	}
-	return refusal.Later(refusal.InstanceLeaving, stoppingRetryAfter, "the answer may take %v, the instance stops in %v", need, end-now)
+	j.deadline = min(j.deadline, end)
+	j.firstDeadline = min(j.firstDeadline, j.deadline)
+	return nil
 }
 
 func (d *Dispatcher) chargeUnits(j *job) error {
--- a/protocol/dispatch/dispatch.go
+++ b/protocol/dispatch/dispatch.go
@@ -13,6 +13,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -177,15 +178,18 @@
 // Dispatcher handles callers' requests.
 type Dispatcher struct {
 	Services
-	breaks   suspicion.Breaks
-	buffers  *relay.Buffers
+	breaks  suspicion.Breaks
+	buffers *relay.Buffers
+	// stopping is closed as the instance begins to stop.
+	stopping chan struct{}
+	stopOnce sync.Once
 	settings atomic.Pointer[Settings]
 }
 
 // New returns a dispatcher.
 func New(s Settings, v Services) *Dispatcher {
 	v.Log = v.Log.Named("dispatch")
-	d := &Dispatcher{Services: v, buffers: relay.NewBuffers()}
+	d := &Dispatcher{Services: v, buffers: relay.NewBuffers(), stopping: make(chan struct{})}
 	d.Reload(s)
 	return d
 }
@@ -293,19 +297,37 @@
 	}
 }
 
-// startDeadlineTimer cancels a request at its deadline. The returned function stops the
-// timer.
+// BeginStop has the requests in flight end before the instance stops, as StopsAt tells.
+func (d *Dispatcher) BeginStop() { d.stopOnce.Do(func() { close(d.stopping) }) }
+
+// startDeadlineTimer cancels a request at its deadline, or shortly before the instance stops. The returned function
+// stops the timer.
 func (d *Dispatcher) startDeadlineTimer(j *job, cancel context.CancelFunc) func() {
-	n, stop := d.Timer.Notify(max(0, j.deadline-d.Timer.Boot()))
 	done := make(chan struct{})
-	go func() {
+	// wait reports whether the time until an instant has passed, and not the request or the wait for stopping ended.
+	wait := func(until time.Duration, stopping <-chan struct{}) (passed, stops bool) {
+		n, stop := d.Timer.Notify(max(0, until-d.Timer.Boot()))
+		defer stop()
 		select {
 		case <-n:
-			cancel()
+			return true, false
+		case <-stopping:
+			return false, true
 		case <-done:
+			return false, false
+		}
+	}
+	deadline := j.deadline
+	go func() {
+		passed, stops := wait(deadline, d.stopping)
+		if stops {
+			passed, _ = wait(min(deadline, d.StopsAt()-stopMargin), nil)
+		}
+		if passed {
+			cancel()
 		}
 	}()
-	return func() { close(done); stop() }
+	return func() { close(done) }
 }
 
 // versionFields returns log fields with the versions of the configuration and upstream
