mesh: a silent session is given up, whatever was called on it

Calls for permits, trials and streams that got no answer put off the next ones, but left them the same session, which may be silent for good.

Two calls in a row without an answer, while nothing was read of the session, now end it. Calls at the same time count once, and a slow method beside others that are answered ends nothing.

--- a/transport/mesh/connect.go
+++ b/transport/mesh/connect.go
@@ -59,7 +59,7 @@
 		return nil, eris.Wrap(ErrUnreachable, err.Error())
 	}
 	stop := context.AfterFunc(c, func() { _ = x.SetDeadline(time.Unix(1, 0)) })
-	r, err := m.exchange(x, connectMethod, body)
+	r, err := m.exchangeWithPeer(via, x, connectMethod, body)
 	stopped := stop()
 	var a connectReply
 	switch {
--- a/transport/mesh/mesh.go
+++ b/transport/mesh/mesh.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -84,10 +85,15 @@
 type countedConn struct {
 	net.Conn
 	mesh *Mesh
+	// reads counts the reads of data.
+	reads *atomic.Int64
 }
 
 func (c countedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.reads.Add(1)
+	}
 	c.mesh.OnTransfer(n, 0)
 	return n, err
 }
--- a/transport/mesh/peer.go
+++ b/transport/mesh/peer.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -17,11 +18,57 @@
 type peer struct {
 	session *yamux.Session
 	idle    []*stream
+	// reads counts the reads of data of the session, calls the calls on it.
+	reads, calls *atomic.Int64
+	silence      silence
 }
 
 type stream struct {
 	net.Conn
 	reader *bufio.Reader
+	peer   *peer
+}
+
+// maxUnanswered is the number of calls in a row without an answer after which a session is given up if nothing
+// has been read of it meanwhile.
+const maxUnanswered = 2
+
+// silence counts the calls in a row that got no answer while nothing was read of their session.
+type silence struct {
+	unanswered int
+	// reads is the number of reads at that time, endedAt that of calls that had begun as the last one of them ended.
+	reads, endedAt int64
+}
+
+// add counts a call that got no answer. It began as the call with number began, when the session had been read a
+// number of times, and ended when it had been read reads times, and calls calls had begun. It reports whether the
+// session is dead. Calls at the same time count once.
+//
+// Load pattern: the connection between two instances goes silent for good, while they hear each other's heartbeats.
+func (s *silence) add(began, readsBefore, reads, calls int64) bool {
+	switch {
+	case reads != readsBefore:
+		s.unanswered = 0
+		return false
+	case s.unanswered == 0 || s.reads != reads:
+		s.unanswered = 1
+	case began > s.endedAt:
+		s.unanswered++
+	default:
+		return false
+	}
+	s.reads, s.endedAt = reads, calls
+	return s.unanswered >= maxUnanswered
+}
+
+// recordUnanswered closes the session of a call that got no answer if it is dead.
+func (m *Mesh) recordUnanswered(address string, p *peer, began, readsBefore int64) {
+	m.mu.Lock()
+	dead := p.silence.add(began, readsBefore, p.reads.Load(), p.calls.Load())
+	m.mu.Unlock()
+	if dead {
+		m.removePeer(address, p)
+	}
 }
 
 func (m *Mesh) call(c context.Context, address, method string, body []byte) ([]byte, error) {
@@ -30,7 +77,7 @@
 		return nil, eris.Wrap(ErrUnreachable, err.Error())
 	}
 	stop := context.AfterFunc(c, func() { _ = x.SetDeadline(time.Unix(1, 0)) })
-	r, err := m.exchange(x, method, body)
+	r, err := m.exchangeWithPeer(address, x, method, body)
 	if !stop() || err != nil {
 		_ = x.Close()
 	} else {
@@ -45,6 +92,16 @@
 	return r.Body, nil
 }
 
+// exchangeWithPeer is exchange for a call whose session is given up if it is dead.
+func (m *Mesh) exchangeWithPeer(address string, x *stream, method string, body []byte) (*reply, error) {
+	began, reads := x.peer.calls.Add(1), x.peer.reads.Load()
+	r, err := m.exchange(x, method, body)
+	if err != nil {
+		m.recordUnanswered(address, x.peer, began, reads)
+	}
+	return r, err
+}
+
 func (m *Mesh) exchange(x *stream, method string, body []byte) (*reply, error) {
 	now := m.clock.Tick()
 	q := &request{Method: method, From: m.address, Wall: now.Wall, Logical: now.Logical, Body: body}
@@ -76,7 +133,7 @@
 		m.removePeer(address, p)
 		return nil, err
 	}
-	return &stream{Conn: conn, reader: bufio.NewReader(conn)}, nil
+	return &stream{Conn: conn, reader: bufio.NewReader(conn), peer: p}, nil
 }
 
 func (m *Mesh) takeIdle(address string, fresh bool) (*peer, *stream) {
@@ -112,12 +169,13 @@
 	if err != nil {
 		return nil, err
 	}
-	s, err := yamux.Client(countedConn{conn, m}, sessionConfig())
+	reads := &atomic.Int64{}
+	s, err := yamux.Client(countedConn{conn, m, reads}, sessionConfig())
 	if err != nil {
 		_ = conn.Close()
 		return nil, err
 	}
-	return m.storePeer(address, &peer{session: s}), nil
+	return m.storePeer(address, &peer{session: s, reads: reads, calls: &atomic.Int64{}}), nil
 }
 
 // storePeer stores a new peer and returns it. If a concurrent call has stored one, it
--- a/transport/mesh/serve.go
+++ b/transport/mesh/serve.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"sync/atomic"
 
 	"github.com/hashicorp/yamux"
 	"github.com/rotisserie/eris"
@@ -44,7 +45,7 @@
 }
 
 func (m *Mesh) serveConnection(c context.Context, conn net.Conn) {
-	s, err := yamux.Server(countedConn{conn, m}, sessionConfig())
+	s, err := yamux.Server(countedConn{conn, m, &atomic.Int64{}}, sessionConfig())
 	if err != nil {
 		_ = conn.Close()
 		return
