--- a/protocol/caller/service.go
+++ b/protocol/caller/service.go
@@ -28,7 +28,7 @@
 
 // forwardToService forwards a request to the plain service that its path is routed to.
 func (s *Server) forwardToService(w http.ResponseWriter, k *call) error {
-	route, ok := s.findRoute(k.request.URL.Path)
+	route, ok := s.findRoute(k.request.URL.EscapedPath())
 	if !ok {
 		return refusal.New(refusal.RouteUnknown, http.StatusNotFound, "no route leads to this path")
 	}
