--- a/protocol/dispatch/place.go
+++ b/protocol/dispatch/place.go
@@ -65,19 +65,8 @@
 			return h, late
 		}
 		if !h.NeedsLoad {
-			if !requested[h.ID] {
-				ready, reserved := d.reserveAdapter(c, j, h)
-				first := len(requested) == 0
-				requested[h.ID] = true
-				if !reserved || first && d.Pool.Predict(h.ID, q, now) > h.FirstEvent+reconsiderMargin {
-					continue
-				}
-				h.ReadyIn = ready
-				// The owner has told what runs there.
-				if d.awaitSlot(c, j, &wait, h.ID) {
-					delete(requested, h.ID)
-					continue
-				}
+			if !requested[h.ID] && !d.confirmChoice(c, j, &h, q, requested, &wait, now) {
+				continue
 			}
 			d.countStart(j, h.ID)
 			return h, d.awaitAdapter(c, j, h.ID, h.ReadyIn)
@@ -103,6 +92,23 @@
 	}
 }
 
+// confirmChoice asks the owner of an engine that is expected to hold the adapter to reserve it. It returns false if
+// another engine has to be chosen, by what the owner has told. Requested has the engines whose owners were asked.
+func (d *Dispatcher) confirmChoice(c context.Context, j *job, h *pool.Choice, q pool.Request, requested map[pool.ID]bool, w *slotWait, now time.Duration) bool {
+	ready, reserved := d.reserveAdapter(c, j, *h)
+	first := len(requested) == 0
+	requested[h.ID] = true
+	if !reserved || first && d.Pool.Predict(h.ID, q, now) > h.FirstEvent+reconsiderMargin {
+		return false
+	}
+	h.ReadyIn = ready
+	if d.awaitSlot(c, j, w, h.ID) {
+		delete(requested, h.ID)
+		return false
+	}
+	return true
+}
+
 // noUpstream returns the refusal for a service none of whose upstreams accepts requests
 // now.
 func (d *Dispatcher) noUpstream(j *job, now time.Duration) error {
