dispatch: a version that is announced while a request waits is followed

While a request waits, the newest version is looked up every 0.25 s, and the limit is set as soon as the one that it was sent with is an older one.

--- a/protocol/dispatch/first_part.go
+++ b/protocol/dispatch/first_part.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -53,16 +54,25 @@
 // startFirstPartTimer cancels the present send if no part of the response arrives within its
 // limits. The returned function stops the timer; it returns false if the send was cancelled before.
 func (d *Dispatcher) startFirstPartTimer(c context.Context, j *job, cancel context.CancelFunc) func() bool {
-	limits := d.firstPartLimits(j)
-	if len(limits) == 0 {
+	limits, versioned := d.firstPartLimits(j), j.service.Engine != nil && j.Adapter.Name != "" && j.oldUntil == 0
+	if len(limits) == 0 && !versioned {
 		return func() bool { return true }
 	}
 	started, done := d.Timer.Boot(), make(chan struct{})
+	version := j.choice.Version
 	// decided is set by whichever comes first: the response or the timeout.
 	var decided atomic.Bool
 	go func() {
-		for _, l := range limits {
-			n, stop := d.Timer.Notify(max(0, started+l.after-d.Timer.Boot()))
+		for len(limits) > 0 || versioned {
+			now := d.Timer.Boot()
+			if versioned {
+				limits, versioned = d.addExpiry(j, version, limits, started, now)
+			}
+			wait := versionPoll
+			if len(limits) > 0 && (!versioned || started+limits[0].after-now < wait) {
+				wait = max(0, started+limits[0].after-now)
+			}
+			n, stop := d.Timer.Notify(wait)
 			select {
 			case <-n:
 			case <-done:
@@ -73,6 +83,11 @@
 				return
 			}
 			stop()
+			if len(limits) == 0 || d.Timer.Boot() < started+limits[0].after {
+				continue
+			}
+			l := limits[0]
+			limits = limits[1:]
 			if l.needsBudget && !d.Budget.Available(j.retryTag()) {
 				d.Log.Info("no response from upstream within the limit; retry budget is empty, still waiting", zap.String("request", j.ID), zap.String("upstream", string(j.choice.ID)))
 				continue
@@ -90,3 +105,20 @@
 		return decided.CompareAndSwap(false, true)
 	})
 }
+
+// versionPoll is how often a request that waits at an engine checks whether a newer version of its adapter is known.
+const versionPoll = 250 * time.Millisecond
+
+// addExpiry adds the limit of a send to an engine with an adapter version that has become an older one since, and
+// reports whether the version may still become one.
+//
+// Load pattern: a newer version is announced while requests wait in the long queues of engines.
+func (d *Dispatcher) addExpiry(j *job, v route.Version, limits []firstPartLimit, started, now time.Duration) ([]firstPartLimit, bool) {
+	newest, _, until := d.Versions(j.Adapter, now)
+	if v >= newest {
+		return limits, true
+	}
+	after := max(0, until-started)
+	limits = slices.DeleteFunc(limits, func(l firstPartLimit) bool { return l.after >= after })
+	return append(limits, firstPartLimit{after: after}), false
+}
--- a/protocol/dispatch/version_test.go
+++ b/protocol/dispatch/version_test.go
@@ -88,3 +88,22 @@
 		t.Errorf("error %v, status %d after %d sends, want the second send answered", err, w.Code, len(b.sends))
 	}
 }
+
+// A newer version of the adapter is announced while a request that may run once waits at an engine with the one that
+// was the newest as it was sent. It must not begin on that version once it has expired.
+func TestVersionThatIsAnnouncedDuringTheWaitIsFollowed(t *testing.T) {
+	b := newHarness(1)
+	b.newest, b.oldest = 1, 1
+	b.pool.SetLoadedAdapters("e0", map[pool.Tag]pool.LoadedAdapter{adapter.Tag(): {Version: 1}}, nil)
+	b.respond = func(int, dispatch.UpstreamRequest) (*dispatch.Response, error) {
+		b.newest, b.oldUntil = 2, b.timer.Boot()+400*time.Millisecond
+		<-b.context.Done()
+		return nil, relay.ErrConnectionBroken
+	}
+	began := b.timer.Boot()
+	_, err := b.serve("/once/x")
+	now := b.timer.Boot()
+	if err == nil || len(b.sends) != 1 || now < b.oldUntil || now >= began+callerTimeout {
+		t.Errorf("error %v after %d sends, %v after the version expired", err, len(b.sends), now-b.oldUntil)
+	}
+}
