--- a/protocol/dispatch/forward.go
+++ b/protocol/dispatch/forward.go
@@ -107,7 +107,10 @@
 	resumes, seen := j.sequence.last != "", false
 	for {
 		n, err := a.Body.Read(buf)
-		pending = append(pending, buf[:n]...)
+		var tooLarge error
+		if pending, tooLarge = x.Append(c, pending, buf[:n]); tooLarge != nil {
+			return d.handleTruncation(c, j, tooLarge)
+		}
 		complete := completeEvents(pending)
 		events := pending[:complete]
 		if resumes && !seen {
@@ -133,10 +136,7 @@
 			}
 		}
 		pending = append(pending[:0], pending[complete:]...)
-		tooLarge := x.Grow(c, int64(cap(pending)))
 		switch {
-		case tooLarge != nil:
-			return d.handleTruncation(c, j, tooLarge)
 		case len(pending) > maxEventBytes:
 			return d.handleTruncation(c, j, eris.Wrapf(relay.ErrResponseTooLarge, "an event of over %d bytes", maxEventBytes))
 		case err == nil:
--- a/transport/relay/buffers.go
+++ b/transport/relay/buffers.go
@@ -52,6 +52,18 @@
 	return nil
 }
 
+// Append appends data to b, and takes the memory for that before it is used.
+func (x *Buffer) Append(c context.Context, b, data []byte) ([]byte, error) {
+	if need := len(b) + len(data); need > cap(b) {
+		// The old bytes are held beside the new ones while they are copied.
+		if err := x.Grow(c, int64(2*need+len(b))); err != nil {
+			return b, err
+		}
+		b = append(make([]byte, 0, 2*need), b...)
+	}
+	return append(b, data...), nil
+}
+
 // Release gives the memory back.
 func (x *Buffer) Release() {
 	x.buffers.room.Release(x.taken)
