--- a/protocol/dispatch/crash.go
+++ b/protocol/dispatch/crash.go
@@ -142,8 +142,8 @@
 	}
 }
 
-// RecordEnded records that the process of an upstream has ended, as its row shows, and was not about to. The
-// requests that broke off there shortly before may be the cause.
+// RecordEnded records that the process of an upstream has ended without notice, as its row shows. The requests that
+// broke off there shortly before may be the cause.
 func (d *Dispatcher) RecordEnded(c context.Context, u pool.Upstream) {
 	x := suspicion.Crash{Upstream: string(u.ID), StartedAt: u.StartedAt}
 	for _, e := range d.breaks.Ended(x, d.Timer.Boot()) {
--- a/protocol/dispatch/dispatch.go
+++ b/protocol/dispatch/dispatch.go
@@ -178,7 +178,9 @@
 // Dispatcher handles callers' requests.
 type Dispatcher struct {
 	Services
-	breaks  suspicion.Breaks
+	// breaks are the requests that broke off at upstreams that may have ended.
+	breaks suspicion.Breaks
+	// buffers bounds the memory of responses that are not forwarded yet.
 	buffers *relay.Buffers
 	// stopping is closed as the instance begins to stop.
 	stopping chan struct{}
@@ -304,7 +306,7 @@
 // stops the timer.
 func (d *Dispatcher) startDeadlineTimer(j *job, cancel context.CancelFunc) func() {
 	done := make(chan struct{})
-	// wait reports whether the time until an instant has passed, and not the request or the wait for stopping ended.
+	// wait ends at an instant, with passed, as stopping is closed, with stops, or with the request.
 	wait := func(until time.Duration, stopping <-chan struct{}) (passed, stops bool) {
 		n, stop := d.Timer.Notify(max(0, until-d.Timer.Boot()))
 		defer stop()
