review: LOST: streams that are taken up find no place for their adapter

Case 8 runs three instances, three engines of each of two software versions and streams for 33 adapters with real processes. An engine crashes; its streams can go on only at two engines whose places for adapters new streams keep in use.

--- a/review/_drill/engine.go
+++ b/review/_drill/engine.go
@@ -13,6 +13,7 @@
 
 // The speeds of an engine are those of the sheets.
 const (
+	requestSlots      = 64
 	adapterSlots      = 6
 	adapterLoadTime   = 250 * time.Millisecond
 	promptTokensPerMs = 25.8
@@ -23,9 +24,12 @@
 // engine is a sound model replica with one base model.
 type engine struct {
 	id, address, model string
-	born               int64
-	record             *record
-	onBegin            func(id, adapter string, version int)
+	// software is the version of its software, length the number of events of a stream.
+	software string
+	length   int
+	born     int64
+	record   *record
+	onBegin  func(id, adapter string, version int)
 
 	mu       sync.Mutex
 	seq      int64
@@ -38,7 +42,7 @@
 }
 
 func newEngine(id, address, model string, k *record) *engine {
-	return &engine{id: id, address: address, model: model, born: time.Now().UnixMilli(), record: k, adapters: map[string]int{}, coming: map[string]int{}, running: map[string]int{}}
+	return &engine{id: id, address: address, model: model, software: "v1", length: events, onBegin: func(string, string, int) {}, born: time.Now().UnixMilli(), record: k, adapters: map[string]int{}, coming: map[string]int{}, running: map[string]int{}}
 }
 
 func (e *engine) list() []string {
@@ -55,11 +59,20 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return map[string]any{
-		"service": "llm", "address": e.address, "zone": "zone-a", "version": "v1", "slots": 64, "state": "ready", "cold-left-ms": 0, "stage": "unified",
+		"service": "llm", "address": e.address, "zone": "zone-a", "version": e.software, "slots": requestSlots, "state": "ready", "cold-left-ms": 0, "stage": "unified",
 		"models": []any{map[string]any{"name": e.model, "version": 1, "adapters": e.list()}}, "seq": e.seq, "born": e.born,
 	}
 }
 
+// runs returns the number of requests at the engine. The caller holds the lock.
+func (e *engine) runs() int {
+	n := 0
+	for _, x := range e.running {
+		n += x
+	}
+	return n
+}
+
 func (e *engine) version(adapter string) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -92,10 +105,7 @@
 
 func (e *engine) report(w http.ResponseWriter) {
 	e.mu.Lock()
-	running, coming := 0, []string{}
-	for _, n := range e.running {
-		running += n
-	}
+	running, coming := e.runs(), []string{}
 	for a, v := range e.coming {
 		coming = append(coming, fmt.Sprintf("%s/%s@%d", e.model, a, v))
 	}
@@ -183,6 +193,10 @@
 		e.mu.Unlock()
 		e.reject(w, r, http.StatusServiceUnavailable)
 		return
+	case e.runs() >= requestSlots:
+		e.mu.Unlock()
+		e.reject(w, r, http.StatusServiceUnavailable)
+		return
 	case !held || expect != "" && expect != strconv.Itoa(version):
 		e.mu.Unlock()
 		e.reject(w, r, http.StatusMisdirectedRequest)
@@ -208,11 +222,16 @@
 	h.Set("X-Request-Id", id)
 	h.Set("X-Server-Stamp", "stamp."+e.id)
 	h.Set("X-Weight-Versions", strconv.Itoa(version))
-	for n := 1; n <= events; n++ {
+	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	for n := from + 1; n <= e.length; n++ {
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: piece %d of %s\n\n", n, n, id); err != nil {
 			return
 		}
 		w.(http.Flusher).Flush()
-		time.Sleep(eventGap)
+		select {
+		case <-time.After(eventGap):
+		case <-r.Context().Done():
+			return
+		}
 	}
 }
--- a/review/_drill/main.go
+++ b/review/_drill/main.go
@@ -25,7 +25,7 @@
 		fmt.Fprintln(os.Stderr, "usage: drill CASE RECORD")
 		os.Exit(notRun)
 	}
-	cases := map[string]func(k *record, folder string, trouble bool) (bool, error){"crowd": runCrowd, "version": runVersion, "recover": runRecover, "era": runEra}
+	cases := map[string]func(k *record, folder string, trouble bool) (bool, error){"crowd": runCrowd, "version": runVersion, "recover": runRecover, "era": runEra, "takeup": runTakeUp}
 	play, ok := cases[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "no such case")
--- a/review/_drill/recover.go
+++ b/review/_drill/recover.go
@@ -94,11 +94,10 @@
 			return false, err
 		}
 		e := newEngine(fmt.Sprintf("i-%08x", 300+n), x.Addr().String(), modelName, k)
-		e.onBegin = func(string, string, int) {}
 		go func() { _ = http.Serve(x, e) }()
 		go beat(c, s, e.id, e.row)
 	}
-	s.put("op", "config", chatConfig(3))
+	s.put("op", "config", chatConfig(3, 4000))
 	d := newChat(k)
 	var fleet []*instance
 	defer func() {
@@ -147,7 +146,7 @@
 	time.Sleep(2 * time.Second)
 	left := fleet
 	if trouble {
-		s.put("op", "config", chatConfig(4))
+		s.put("op", "config", chatConfig(4, 4000))
 		k.add("a configuration is acknowledged, and all processes are killed; %s is lost for good", fleet[0].name)
 		var w sync.WaitGroup
 		for _, i := range fleet {
--- a/review/_drill/version.go
+++ b/review/_drill/version.go
@@ -45,12 +45,12 @@
 	return &chat{record: k, begun: map[string][]beginning{}, sent: map[string]time.Time{}, sentTo: map[string]string{}}
 }
 
-// chatConfig returns a version of the configuration, which has one resumable route.
-func chatConfig(version int) []byte {
-	return fmt.Appendf(nil, `{"version":%d,"routes":[{"name":"chat","host":%q,"path-prefix":"/chat/","kind":"stream","timeout-ms":4000,"target-latency-ms":800,"priority":1,"service":"llm","max-attempts":2,"no-auth":false,"sticky":true,"resumable":true,"gap-aim-ms":300}],`+
+// chatConfig returns a version of the configuration, which has one resumable route with a timeout.
+func chatConfig(version, timeoutMs int) []byte {
+	return fmt.Appendf(nil, `{"version":%d,"routes":[{"name":"chat","host":%q,"path-prefix":"/chat/","kind":"stream","timeout-ms":%d,"target-latency-ms":800,"priority":1,"service":"llm","max-attempts":2,"no-auth":false,"sticky":true,"resumable":true,"gap-aim-ms":300}],`+
 		`"services":[{"name":"llm","health-path":"/healthz","max-conns":771,"protocol":"h1","tls":false,"engine":{"slots":64,"kv-capacity-tokens":150386,"models":[{"name":%q,"weights-mb":65100,"load-s":2.9,"adapters":3000,"adapter-mb":12}],"weights-mb":66500,"adapter-slots":%d,"loads-per-s":4.3}}],`+
 		`"limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000},"tenants":[{"name":"tenant-1","api-keys":[%q],"priority":1,"unit":"tokens","plain-tokens":200,"rate-per-s":1000000,"burst":1000000}]}`,
-		version, chatHost, modelName, adapterSlots, key)
+		version, chatHost, timeoutMs, modelName, adapterSlots, key)
 }
 
 // send sends a request for an adapter to an instance, reads the answer, and reports whether it was served.
@@ -134,7 +134,7 @@
 		go func() { _ = http.Serve(x, e) }()
 		go beat(c, s, e.id, e.row)
 	}
-	s.put("op", "config", chatConfig(3))
+	s.put("op", "config", chatConfig(3, 4000))
 	s.put("op", "version/"+modelName+"."+adapterName, []byte(fmt.Sprintf(`{"model":%q,"adapter":%q,"version":1}`, modelName, adapterName)))
 	var fleet []*instance
 	defer func() {
