--- a/review/_drill/crowd.go
+++ b/review/_drill/crowd.go
@@ -122,7 +122,6 @@
 	record    *record
 	replicas  []*plainReplica
 	fronts    []string
-	began     int64
 	answered  atomic.Int64
 	failed    atomic.Int64
 	mu        sync.Mutex
@@ -243,7 +242,7 @@
 		}
 	}()
 	for n := range 2 {
-		i, err := newInstance(dep, folder, fmt.Sprintf("front-%d", n+1), "zone-a", fmt.Sprintf("127.0.77.%d", n+1), storeListener.Addr().String(), nil, k)
+		i, err := newInstance(dep, folder, fmt.Sprintf("front-%d", n+1), "zone-a", fmt.Sprintf("127.0.77.%d", n+1), storeListener.Addr().String(), k)
 		if err != nil {
 			return false, err
 		}
--- a/review/_drill/era.go
+++ b/review/_drill/era.go
@@ -102,7 +102,7 @@
 		}
 	}()
 	for n := range 2 {
-		i, err := newInstance(dep, folder, fmt.Sprintf("front-%d", n+1), "zone-a", fmt.Sprintf("127.0.80.%d", n+1), l.Addr().String(), nil, k)
+		i, err := newInstance(dep, folder, fmt.Sprintf("front-%d", n+1), "zone-a", fmt.Sprintf("127.0.80.%d", n+1), l.Addr().String(), k)
 		if err != nil {
 			return false, err
 		}
--- a/review/_drill/fleet.go
+++ b/review/_drill/fleet.go
@@ -27,20 +27,19 @@
 
 // instance is one machine of the system with its process.
 type instance struct {
-	name, zone, ip               string
-	front, ready, directory      string
-	firstPort                    int
-	file, logFile                string
-	run                          []string
-	env                          []string
-	record                       *record
-	mu                           sync.Mutex
-	cmd                          *exec.Cmd
-	startedAt                    time.Time
-	expected                     bool
-	stopped                      bool
-	ended, killedForMemory, runs int
-	done                         chan struct{}
+	name, zone, ip          string
+	front, ready, directory string
+	firstPort               int
+	file, logFile           string
+	run                     []string
+	env                     []string
+	record                  *record
+	mu                      sync.Mutex
+	cmd                     *exec.Cmd
+	expected                bool
+	stopped                 bool
+	killedForMemory         int
+	done                    chan struct{}
 }
 
 // deployment is what the deploy file says of the one role of the system.
@@ -99,7 +98,7 @@
 }
 
 // newInstance returns an instance on a loopback address of its own, on which its ports are free.
-func newInstance(d deployment, folder, name, zone, ip, storeAddress string, extra map[string]string, k *record) (*instance, error) {
+func newInstance(d deployment, folder, name, zone, ip, storeAddress string, k *record) (*instance, error) {
 	i := &instance{name: name, zone: zone, ip: ip, run: d.run, env: d.env, record: k}
 	base, err := freePorts(ip)
 	if err != nil {
@@ -112,9 +111,6 @@
 		"ip": ip, "port-range.0": strconv.Itoa(base), "limits.memory-mb": "206", "provider.address": storeAddress,
 		"bounds.grace-s": "8", "bounds.retry-budget-ratio": "0.2", "bounds.budget-min-retries": "116", "bounds.version_ms": "5000", "bounds.quota-window-s": "8",
 	}
-	for a, b := range extra {
-		values[a] = b
-	}
 	data, err := os.ReadFile(d.template)
 	if err != nil {
 		return nil, err
@@ -165,8 +161,7 @@
 		return err
 	}
 	i.mu.Lock()
-	i.cmd, i.startedAt, i.expected = c, time.Now(), false
-	i.runs++
+	i.cmd, i.expected = c, false
 	done := make(chan struct{})
 	i.done = done
 	i.mu.Unlock()
@@ -175,9 +170,6 @@
 		err := c.Wait()
 		i.mu.Lock()
 		expected := i.expected
-		if !expected {
-			i.ended++
-		}
 		i.mu.Unlock()
 		i.record.add("%s ended, expected %v: %v", i.name, expected, err)
 		close(done)
--- a/review/_drill/store.go
+++ b/review/_drill/store.go
@@ -31,11 +31,7 @@
 	ver     int64
 	changed chan struct{}
 	silent  bool
-	// returned is closed at the end of a silence.
-	returned chan struct{}
-	// onCall is called with each call that arrives during a silence.
-	onCall func(r *http.Request)
-	began  time.Time
+	began   time.Time
 	// era counts how often the store has come back from a copy. The header Store-Era states it.
 	era    int
 	copies []storeCopy
@@ -85,7 +81,7 @@
 }
 
 func newStore() *store {
-	return &store{rows: map[rowID]row{}, changed: make(chan struct{}), returned: make(chan struct{}), began: time.Now()}
+	return &store{rows: map[rowID]row{}, changed: make(chan struct{}), began: time.Now()}
 }
 
 // put writes a row for an operator or a replica, and returns the version of the write.
@@ -109,15 +105,7 @@
 func (s *store) setSilent(on bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if on == s.silent {
-		return
-	}
 	s.silent = on
-	if on {
-		s.returned = make(chan struct{})
-	} else {
-		close(s.returned)
-	}
 	s.wake()
 }
 
@@ -131,12 +119,9 @@
 // ServeHTTP answers a call, or drops its connection if the store is silent before the answer.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
-	silent, onCall, away := s.silent, s.onCall, s.away
+	silent, away := s.silent, s.away
 	s.mu.Unlock()
 	if silent {
-		if onCall != nil {
-			onCall(r)
-		}
 		// A call without an answer: its connection delivers nothing further.
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
