platform, proof: tests of crowds that do not behave

Real processes on loopback face clients outside anybody's control: bodies that stop just short of their end, whole, in pieces and in chunks, bodies far over the limit, whole ones in a row, connections that send nothing or less than a head, answers that nobody reads, requests through another instance, and all descriptors taken. The tests judge life, memory, descriptors and ordinary requests beside and after the crowd. They run one at a time, after all others.

--- a/Makefile
+++ b/Makefile
@@ -16,9 +16,11 @@
 	go tool staticcheck ./...
 	go tool revive -config revive.toml -set_exit_status ./...
 
-# RED names the tests of KNOWN-RED.txt, separated by |, that CI passes over.
+# RED names the tests of KNOWN-RED.txt, separated by |, that CI passes over. The tests of crowds measure
+# processes, so they run one at a time and after all others.
 test:
-	go test -count=1 $(if $(RED),-skip '^($(RED))$$') ./...
+	go test -count=1 -skip '^($(if $(RED),$(RED)|)TestCrowd.*)$$' ./...
+	go test -count=1 -p 1 -run '^TestCrowd' $(if $(RED),-skip '^($(RED))$$') ./platform ./proof
 
 check: lint test
 
--- a/proof/harness_test.go
+++ b/proof/harness_test.go
@@ -115,6 +115,8 @@
 	checksFencing  bool
 	stepTime       time.Duration
 	callerSettings string
+	// descriptors limits the open descriptors of each process, unless it is 0.
+	descriptors int
 }
 
 // newHarness starts the stand-ins. It starts no instance.
@@ -261,6 +263,9 @@
 		w.t.Fatal(err)
 	}
 	n.process = exec.Command(binary, "instance", "--settings", file)
+	if w.options.descriptors > 0 {
+		n.process = exec.Command("sh", "-c", fmt.Sprintf("ulimit -n %d; exec \"$@\"", w.options.descriptors), "sh", binary, "instance", "--settings", file)
+	}
 	n.process.Stderr = os.Stderr
 	if err := n.process.Start(); err != nil {
 		w.t.Fatal(err)
