shedding, inbound, platform: one account bounds what clients and upstreams hold

Callers saw: a crowd of large bodies that stop just short of their end ended an instance, or kept others from being served; a crowd of connections took all descriptors; as the kernel gave no descriptor the process ended; with answers that nobody read, no large answer reached anybody else.

Cause: each body, response and connection had a bound, and all together had none. Bodies were read before route, key and announced length were looked at. The listener for other instances took a lack of descriptors for its end. Writes to callers had no limit of time.

Change: state/shedding counts memory by use and connections by door, and decides who yields; transport/inbound accepts connections within it; relay.Buffers takes memory as data arrives, from the same account. A request is refused by its head where that is enough. A body that makes no progress yields while memory is short, a connection without a request while places are. A connection that has yielded may not run its request any more, under the lock that decided it, so that a refusal is true. A request that runs keeps its memory.

Ruled out: a semaphore of their own for callers' bodies (no bound for the sum, stopped bodies keep it for 30 s); memory by the announced length (costs a sender nothing).

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -31,10 +31,12 @@
 	"gentiangauge.example/gentiangauge/state/pool"
 	"gentiangauge.example/gentiangauge/state/retry"
 	"gentiangauge.example/gentiangauge/state/route"
+	"gentiangauge.example/gentiangauge/state/shedding"
 	"gentiangauge.example/gentiangauge/state/suspicion"
 	"gentiangauge.example/gentiangauge/state/timeline"
 	"gentiangauge.example/gentiangauge/state/usage"
 	"gentiangauge.example/gentiangauge/timer"
+	"gentiangauge.example/gentiangauge/transport/inbound"
 	"gentiangauge.example/gentiangauge/transport/mesh"
 	"gentiangauge.example/gentiangauge/transport/relay"
 	"gentiangauge.example/gentiangauge/transport/store"
@@ -78,6 +80,8 @@
 	// Send sends a request to an upstream through Relay, as dispatch.Services.Send.
 	Send  func(c context.Context, s dispatch.UpstreamRequest) (*dispatch.Response, error)
 	Relay *relay.Relay
+	// Inbound has the account of what is held for clients and upstreams.
+	Inbound inbound.Services
 	// The decode functions fail with an error that names the position of the fault in the row.
 	DecodeConfiguration  func(value []byte) (route.Config, error)
 	DecodeAdapterVersion func(value []byte) (AdapterVersion, error)
@@ -244,15 +248,16 @@
 		DataAges:  e.rowAges,
 		Budget:    e.retries, Admission: a,
 		Metrics: dispatch.NewMetrics(r),
+		Account: e.Inbound.Account,
 	})
 }
 
 // Run runs the instance as a member of the fleet until c ends. It fails if it cannot listen for
 // peers.
 func (e *Entry) Run(c context.Context) error {
-	l, err := net.Listen("tcp", e.PeerAddress)
+	l, err := inbound.Listen(e.PeerAddress, shedding.Peers, e.Inbound)
 	if err != nil {
-		return eris.Wrap(err, "listen for peers")
+		return err
 	}
 	failed := make(chan error, 1)
 	go func() { failed <- e.mesh.Serve(c, l) }()
--- a/entry/paths.go
+++ b/entry/paths.go
@@ -16,13 +16,15 @@
 
 	"gentiangauge.example/gentiangauge/coordination/paths"
 	"gentiangauge.example/gentiangauge/protocol/dispatch"
+	"gentiangauge.example/gentiangauge/state/shedding"
 	"gentiangauge.example/gentiangauge/transport/mesh"
 )
 
 const (
-	// maxForwarded bounds the connections that an instance forwards for others, each of which takes up to
-	// 300 KB.
-	maxForwarded = 128
+	// maxForwarded bounds the connections that an instance forwards for others, forwardedBytes is what each of them
+	// may hold: the window of its stream and the buffers for both directions.
+	maxForwarded   = 128
+	forwardedBytes = 300 << 10
 	// forwardTimeout is how long one instance may take to open a connection.
 	forwardTimeout = 450 * time.Millisecond
 	pingMethod     = "paths/ping"
@@ -170,24 +172,38 @@
 		e.forwarded.Add(-1)
 		return nil, eris.Wrapf(mesh.ErrRefused, "%d connections are forwarded", maxForwarded)
 	}
+	claim := e.Inbound.Account.Claim(shedding.Forwarding, nil)
+	if ok, _ := claim.Grow(forwardedBytes); !ok {
+		e.forwarded.Add(-1)
+		claim.CountShort()
+		return nil, eris.Wrap(mesh.ErrRefused, "no memory is left for another connection")
+	}
 	n, err := e.Relay.Dial(c, "tcp", address)
 	e.paths.RecordDirect(address, err)
 	if err != nil {
 		e.forwarded.Add(-1)
+		claim.ShrinkTo(0)
 		return nil, err
 	}
-	return &countedConn{Conn: n, count: &e.forwarded}, nil
+	return &countedConn{Conn: n, count: &e.forwarded, onClose: func() { claim.ShrinkTo(0) }}, nil
 }
 
 // countedConn is a connection that is counted until it is closed.
 type countedConn struct {
 	net.Conn
 	count *atomic.Int64
-	once  sync.Once
+	// onClose is called once. It may be nil.
+	onClose func()
+	once    sync.Once
 }
 
 func (k *countedConn) Close() error {
-	k.once.Do(func() { k.count.Add(-1) })
+	k.once.Do(func() {
+		k.count.Add(-1)
+		if k.onClose != nil {
+			k.onClose()
+		}
+	})
 	return k.Conn.Close()
 }
 
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -25,8 +25,10 @@
 	"gentiangauge.example/gentiangauge/protocol/operator"
 	"gentiangauge.example/gentiangauge/settings"
 	"gentiangauge.example/gentiangauge/state/lists"
+	"gentiangauge.example/gentiangauge/state/shedding"
 	"gentiangauge.example/gentiangauge/state/timeline"
 	"gentiangauge.example/gentiangauge/timer"
+	"gentiangauge.example/gentiangauge/transport/inbound"
 	"gentiangauge.example/gentiangauge/transport/mesh"
 	"gentiangauge.example/gentiangauge/transport/provider"
 	"gentiangauge.example/gentiangauge/transport/relay"
@@ -133,6 +135,7 @@
 	i.Server = caller.New(i.Settings, caller.Services{
 		Timer: i.Timer, Fleet: i.Fleet, Catalog: i.Catalog, Quota: i.Quota, Placement: i.Placement, Suspects: i.Suspects,
 		Idempotency: i.Idempotency, Relay: i.Relay, Engines: engine.New(), Recorder: i.Recorder, Metrics: caller.NewMetrics(i.metrics), Log: i.log,
+		Account: shedding.New(inbound.NewLimits(0, 0), i.Timer.Boot),
 	})
 	i.Catalog.OnInstall = func(before, after *lists.State) {
 		i.Server.HandleInstall(before, after)
--- a/protocol/caller/forward.go
+++ b/protocol/caller/forward.go
@@ -74,9 +74,9 @@
 // forwardBuffered reads a non-streamed response completely before it sends any of it, so
 // that a truncated response never reaches the caller and the request can be retried.
 func (s *Server) forwardBuffered(w http.ResponseWriter, g *generation, a *http.Response) error {
-	x := s.buffers.Buffer()
+	x := s.buffers.Buffer(nil)
 	defer x.Release()
-	body, err := x.ReadAll(a.Request.Context(), a.Body, maxResponseBytes)
+	body, err := x.ReadAll(a.Request.Context(), a.Body, maxResponseBytes, max(0, a.ContentLength))
 	if err != nil {
 		return truncatedResponse()
 	}
--- a/protocol/caller/server.go
+++ b/protocol/caller/server.go
@@ -27,6 +27,7 @@
 	"gentiangauge.example/gentiangauge/protocol/engine"
 	"gentiangauge.example/gentiangauge/refusal"
 	"gentiangauge.example/gentiangauge/settings"
+	"gentiangauge.example/gentiangauge/state/shedding"
 	"gentiangauge.example/gentiangauge/state/timeline"
 	"gentiangauge.example/gentiangauge/timer"
 	"gentiangauge.example/gentiangauge/transport/relay"
@@ -46,6 +47,8 @@
 	Recorder    *timeline.Recorder
 	Metrics     *Metrics
 	Log         *zap.Logger
+	// Account counts the memory that is held for upstreams.
+	Account *shedding.Account
 }
 
 // Server serves the HTTP API for callers.
@@ -71,7 +74,7 @@
 	s.Log = s.Log.Named("caller")
 	b := make([]byte, idPrefixBytes)
 	_, _ = rand.Read(b)
-	return &Server{Services: s, config: c, inFlight: newInFlightRequests(), buffers: relay.NewBuffers(), budget: newRetryBudget(c.Caller.RetryPercent), idPrefix: hex.EncodeToString(b)}
+	return &Server{Services: s, config: c, inFlight: newInFlightRequests(), buffers: relay.NewBuffers(s.Account, shedding.Responses, s.Timer), budget: newRetryBudget(c.Caller.RetryPercent), idPrefix: hex.EncodeToString(b)}
 }
 
 // Handler returns the handler of all routes.
--- a/protocol/caller/service.go
+++ b/protocol/caller/service.go
@@ -224,9 +224,9 @@
 			return idempotency.Answer{}, true, err
 		}
 		defer answer.Body.Close()
-		x := s.buffers.Buffer()
+		x := s.buffers.Buffer(nil)
 		defer x.Release()
-		b, err := x.ReadAll(c, answer.Body, maxRecordedResponseBytes)
+		b, err := x.ReadAll(c, answer.Body, maxRecordedResponseBytes, max(0, answer.ContentLength))
 		if err != nil {
 			return idempotency.Answer{}, true, relay.ErrConnectionBroken
 		}
--- a/protocol/dispatch/admit.go
+++ b/protocol/dispatch/admit.go
@@ -28,16 +28,52 @@
 	defaultTimeout = 30 * time.Second
 )
 
-// admit looks up the route and the workspace of a request and charges its units. The
-// job is nil if there is no route.
-func (d *Dispatcher) admit(q *Request) (*job, error) {
-	t := d.Table()
+// find looks up the route and the workspace of a request. The route is nil if there is none, and so is the workspace of
+// an open one.
+func (d *Dispatcher) find(t *route.Table, q *Request) (*route.Route, *route.Workspace, error) {
 	if t == nil {
-		return nil, refusal.Later(refusal.StoreUnavailable, startingRetryAfter, "no configuration is known yet")
+		return nil, nil, refusal.Later(refusal.StoreUnavailable, startingRetryAfter, "no configuration is known yet")
 	}
 	r, ok := t.Find(q.Host, q.Path)
+	switch {
+	case !ok:
+		return nil, nil, refusal.New(refusal.RouteUnknown, http.StatusNotFound, "no route leads to %s", q.Path)
+	case r.Open:
+		return r, nil, nil
+	case q.Key == "":
+		return r, nil, refusal.New(refusal.KeyMissing, http.StatusUnauthorized, "the request carries no key")
+	}
+	w, ok := t.WorkspaceByKey(q.Key)
 	if !ok {
-		return nil, refusal.New(refusal.RouteUnknown, http.StatusNotFound, "no route leads to %s", q.Path)
+		return r, nil, refusal.New(refusal.KeyUnknown, http.StatusUnauthorized, "the key is not known")
+	}
+	return r, w, nil
+}
+
+// Check refuses a request by its head alone, if no body would change that.
+//
+// Load pattern: many callers without a key send large bodies.
+func (d *Dispatcher) Check(q *Request) error {
+	if _, _, err := d.find(d.Table(), q); err != nil {
+		return d.Refuse(q, err)
+	}
+	return nil
+}
+
+// Refuse records the refusal of a request that Serve does not get, and returns it.
+func (d *Dispatcher) Refuse(q *Request, err error) error {
+	d.jitterRetryAfter(err)
+	d.logRefusal(q, nil, err)
+	return err
+}
+
+// admit looks up the route and the workspace of a request and charges its units. The
+// job is nil if there is no route.
+func (d *Dispatcher) admit(q *Request) (*job, error) {
+	t := d.Table()
+	r, w, err := d.find(t, q)
+	if r == nil {
+		return nil, err
 	}
 	j := &job{Request: q, configuration: t.Version, route: r, tokens: q.PromptTokens + q.OutputTokens, avoid: map[pool.ID]bool{}, sentTo: map[pool.ID]bool{}, sequence: sequence{last: q.ResumeAfter}}
 	if q.Timeout <= 0 {
@@ -51,19 +87,16 @@
 	if p := r.EventTimeout(); p > 0 {
 		j.firstDeadline = min(j.deadline, q.Arrived+p)
 	}
-	if !r.Open {
-		if q.Key == "" {
-			return j, refusal.New(refusal.KeyMissing, http.StatusUnauthorized, "the request carries no key")
-		}
-		if j.workspace, ok = t.WorkspaceByKey(q.Key); !ok {
-			return j, refusal.New(refusal.KeyUnknown, http.StatusUnauthorized, "the key is not known")
-		}
+	if err != nil {
+		return j, err
 	}
+	j.workspace = w
 	draw := d.Rand()
 	if r.Kind == route.Stream && r.Resumable {
 		j.identifyStream()
 		draw = j.stream.Draw()
 	}
+	var ok bool
 	if j.service, ok = t.Service(r.Pick(draw)); !ok {
 		return j, refusal.Later(refusal.NoUpstream, overloadRetryAfter, "the route names a service that is not configured")
 	}
--- a/protocol/dispatch/dispatch.go
+++ b/protocol/dispatch/dispatch.go
@@ -26,6 +26,7 @@
 	"gentiangauge.example/gentiangauge/state/pool"
 	"gentiangauge.example/gentiangauge/state/retry"
 	"gentiangauge.example/gentiangauge/state/route"
+	"gentiangauge.example/gentiangauge/state/shedding"
 	"gentiangauge.example/gentiangauge/state/software"
 	"gentiangauge.example/gentiangauge/state/suspicion"
 	"gentiangauge.example/gentiangauge/timer"
@@ -86,6 +87,8 @@
 	// Header holds the end-to-end headers for the caller.
 	Header http.Header
 	Body   io.ReadCloser
+	// Length is the number of bytes of the body, or 0 if it is not known.
+	Length int64
 	// Signed is set when the response carries an upstream's signature.
 	Signed bool
 	// Matches is set when the response carries the ID of the request.
@@ -162,6 +165,8 @@
 	Budget *retry.Budget
 	// Metrics counts refusals and measures latencies.
 	Metrics *Metrics
+	// Account counts the memory of responses that are not forwarded yet.
+	Account *shedding.Account
 }
 
 // Settings holds the reloadable settings of a dispatcher.
@@ -191,7 +196,7 @@
 // New returns a dispatcher.
 func New(s Settings, v Services) *Dispatcher {
 	v.Log = v.Log.Named("dispatch")
-	d := &Dispatcher{Services: v, buffers: relay.NewBuffers(), stopping: make(chan struct{})}
+	d := &Dispatcher{Services: v, buffers: relay.NewBuffers(v.Account, shedding.Responses, v.Timer), stopping: make(chan struct{})}
 	d.Reload(s)
 	return d
 }
--- a/protocol/dispatch/dispatch_test.go
+++ b/protocol/dispatch/dispatch_test.go
@@ -23,6 +23,7 @@
 	"gentiangauge.example/gentiangauge/state/pool"
 	"gentiangauge.example/gentiangauge/state/retry"
 	"gentiangauge.example/gentiangauge/state/route"
+	"gentiangauge.example/gentiangauge/state/shedding"
 	"gentiangauge.example/gentiangauge/state/suspicion"
 	"gentiangauge.example/gentiangauge/timer"
 	"gentiangauge.example/gentiangauge/transport/relay"
@@ -110,6 +111,7 @@
 		IsReplaced: func(context.Context, pool.Upstream) bool { return false },
 		HasEnded:   func(context.Context, string) bool { return b.ended },
 		Metrics:    dispatch.NewMetrics(prometheus.NewRegistry()),
+		Account:    shedding.New(shedding.NewLimits(206<<20, 2870), b.timer.Boot),
 	})
 	return b
 }
--- a/protocol/dispatch/forward.go
+++ b/protocol/dispatch/forward.go
@@ -13,6 +13,7 @@
 
 	"gentiangauge.example/gentiangauge/state/pool"
 	"gentiangauge.example/gentiangauge/state/route"
+	"gentiangauge.example/gentiangauge/transport/inbound"
 	"gentiangauge.example/gentiangauge/transport/relay"
 )
 
@@ -55,9 +56,9 @@
 // forwardBuffered buffers a response until it is complete, so that the caller never
 // receives a truncated one.
 func (d *Dispatcher) forwardBuffered(c context.Context, w http.ResponseWriter, j *job, a *Response, first func() bool) error {
-	x := d.buffers.Buffer()
+	x := d.buffers.Buffer(inbound.From(c).Usage())
 	defer x.Release()
-	b, err := x.ReadAll(c, a.Body, maxBufferedBytes)
+	b, err := x.ReadAll(c, a.Body, maxBufferedBytes, a.Length)
 	if err != nil {
 		return d.handleTruncation(c, j, err)
 	}
@@ -100,7 +101,7 @@
 // forwardStream forwards events as they arrive, each one only when it is complete.
 func (d *Dispatcher) forwardStream(c context.Context, w http.ResponseWriter, j *job, a *Response, first func() bool) error {
 	var pending []byte
-	x := d.buffers.Buffer()
+	x := d.buffers.Buffer(inbound.From(c).Usage())
 	defer x.Release()
 	buf := make([]byte, readBufferBytes)
 	flush := http.NewResponseController(w)
--- a/standin/crowd/crowd.go
+++ b/standin/crowd/crowd.go
@@ -47,7 +47,9 @@
 	k := &Crowd{address: address, client: client}
 	for id := range clients {
 		k.clients.Go(func() {
-			for try := 0; try < tries && !k.send(id+try*clients); try++ {
+			try := 0
+			for try < tries && !k.send(id+try*clients) {
+				try++
 			}
 		})
 	}
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -101,6 +101,16 @@
 	}
 }
 
+// SetMaxIdle bounds the connections that are kept, directly and through other instances. It is called before the first
+// request.
+func (r *Relay) SetMaxIdle(n int) {
+	for _, k := range []*http.Client{r.shared, r.indirect} {
+		if t, ok := k.Transport.(*http.Transport); ok {
+			t.MaxIdleConns = n
+		}
+	}
+}
+
 func (r *Relay) dialDirect(c context.Context, network, address string) (net.Conn, error) {
 	n, err := r.Dial(c, network, address)
 	if r.OnDial != nil {
