caller, instance: the own interface holds bodies and connections within the account

Callers saw: 150 callers with a key, or on an open route, whose bodies of 4 MiB stop just short of their end had an instance hold over 1 GB; whole ones 1.5 GB, as each body is copied while it is checked and encoded. 600 connections that stay after an answer kept others from being served for 30 s, at the address of operators too; at the address of other instances they ended the process.

Change: all three listeners and both bodies use the account of the instance. Copies are taken from it before they are made and given back once the request is encoded. Unfinished events of streams count too. Settings: memory-megabytes, descriptors, stall-milliseconds; the memory limit of the runtime follows from the first.

--- a/commands/instance.go
+++ b/commands/instance.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/rotisserie/eris"
@@ -14,6 +15,7 @@
 
 	"gentiangauge.example/gentiangauge/instance"
 	"gentiangauge.example/gentiangauge/settings"
+	"gentiangauge.example/gentiangauge/state/shedding"
 )
 
 func init() {
@@ -46,6 +48,7 @@
 	if err != nil || k.Bool("check-settings") {
 		return err
 	}
+	debug.SetMemoryLimit(int64(float64(s.Instance.MemoryMegabytes<<20) * shedding.RuntimeShare))
 	log, err := newLog(s.Instance.LogLevel)
 	if err != nil {
 		return err
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -49,6 +49,8 @@
 	Idempotency *idempotency.Executor
 	Relay       *relay.Relay
 	Server      *caller.Server
+	// Inbound has the account of what is held for callers and upstreams.
+	Inbound inbound.Services
 
 	metrics *prometheus.Registry
 	log     *zap.Logger
@@ -64,13 +66,19 @@
 	// propagationMargin is added to two ping intervals for the time in which peers receive
 	// that this instance is leaving.
 	propagationMargin = time.Second
-	readHeaderTimeout = 10 * time.Second
+	// readTimeout, idleTimeout and maxHeaderBytes bound the requests of operators.
+	readTimeout    = 10 * time.Second
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 32 << 10
 )
 
 // New assembles an instance. Nothing runs until Run is called.
 func New(s *settings.Settings, log *zap.Logger) *Instance {
 	i := &Instance{Settings: s, Timer: timer.New(), log: log, metrics: prometheus.NewRegistry(), Relay: relay.New()}
 	i.life, i.stopAll = context.WithCancel(context.Background())
+	i.Inbound = inbound.Services{Account: shedding.New(limits(s), i.Timer.Boot), Timer: i.Timer, Log: log, StallTimeout: s.Caller.StallTimeout.Duration()}
+	inbound.RegisterMetrics(i.metrics, i.Inbound.Account)
+	i.Relay.SetMaxIdle(i.Inbound.Account.Limits().IdleUpstream)
 	i.metrics.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	i.Recorder = timeline.New(s.Instance.Name, s.Instance.TimelineEvents, i.Timer.Now)
 	i.Mesh = mesh.New(s.Instance.MeshAddress, mesh.Clock{Tick: i.Recorder.Tick, Observe: i.Recorder.Observe})
@@ -85,6 +93,11 @@
 	return i
 }
 
+// limits returns the bounds of what the instance holds for callers and upstreams.
+func limits(s *settings.Settings) shedding.Limits {
+	return inbound.NewLimits(shedding.Bytes(s.Instance.MemoryMegabytes<<20), min(s.Instance.Descriptors, inbound.KernelDescriptors()))
+}
+
 // countMeshBytes counts the traffic with other instances in the metrics.
 func (i *Instance) countMeshBytes() {
 	n := prometheus.NewCounterVec(prometheus.CounterOpts{Name: "gentiangauge_mesh_bytes_total", Help: "Bytes between instances."}, []string{"direction"})
@@ -135,7 +148,7 @@
 	i.Server = caller.New(i.Settings, caller.Services{
 		Timer: i.Timer, Fleet: i.Fleet, Catalog: i.Catalog, Quota: i.Quota, Placement: i.Placement, Suspects: i.Suspects,
 		Idempotency: i.Idempotency, Relay: i.Relay, Engines: engine.New(), Recorder: i.Recorder, Metrics: caller.NewMetrics(i.metrics), Log: i.log,
-		Account: shedding.New(inbound.NewLimits(0, 0), i.Timer.Boot),
+		Account: i.Inbound.Account,
 	})
 	i.Catalog.OnInstall = func(before, after *lists.State) {
 		i.Server.HandleInstall(before, after)
@@ -185,13 +198,16 @@
 func (i *Instance) listen() ([]net.Listener, error) {
 	var all []net.Listener
 	n := i.Settings.Instance
-	for _, address := range []string{n.Address, n.MeshAddress, n.OperatorAddress} {
-		l, err := net.Listen("tcp", address)
+	for _, x := range []struct {
+		address string
+		door    shedding.Door
+	}{{n.Address, shedding.Callers}, {n.MeshAddress, shedding.Peers}, {n.OperatorAddress, shedding.Operators}} {
+		l, err := inbound.Listen(x.address, x.door, i.Inbound)
 		if err != nil {
 			for _, x := range all {
 				_ = x.Close()
 			}
-			return nil, eris.Wrapf(err, "listen on %s", address)
+			return nil, err
 		}
 		all = append(all, l)
 	}
@@ -203,7 +219,8 @@
 		Name: i.Settings.Instance.Name, Zone: i.Settings.Instance.Zone, Fleet: i.Fleet, Catalog: i.Catalog,
 		Recorder: i.Recorder, Metrics: i.metrics, InFlight: i.Server.InFlight, Lease: i.Settings.Lease.Duration.Duration(),
 	})
-	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+	s := &http.Server{Handler: inbound.WithoutBodies(h, i.Timer), ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	inbound.Configure(s)
 	stop := context.AfterFunc(i.life, func() { _ = s.Close() })
 	defer stop()
 	err := s.Serve(l)
--- a/protocol/caller/forward.go
+++ b/protocol/caller/forward.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"encoding/json"
 	"errors"
 	"net/http"
@@ -10,6 +11,7 @@
 
 	"gentiangauge.example/gentiangauge/refusal"
 	"gentiangauge.example/gentiangauge/state/lists"
+	"gentiangauge.example/gentiangauge/transport/relay"
 )
 
 const (
@@ -74,7 +76,7 @@
 // forwardBuffered reads a non-streamed response completely before it sends any of it, so
 // that a truncated response never reaches the caller and the request can be retried.
 func (s *Server) forwardBuffered(w http.ResponseWriter, g *generation, a *http.Response) error {
-	x := s.buffers.Buffer(nil)
+	x := s.buffers.Buffer(g.connection.Usage())
 	defer x.Release()
 	body, err := x.ReadAll(a.Request.Context(), a.Body, maxResponseBytes, max(0, a.ContentLength))
 	if err != nil {
@@ -112,9 +114,12 @@
 func (s *Server) forwardStream(w http.ResponseWriter, g *generation, a *http.Response) error {
 	r := bufio.NewReaderSize(a.Body, streamBufferBytes)
 	control := http.NewResponseController(w)
+	x := s.buffers.Buffer(g.connection.Usage())
+	defer x.Release()
+	var event []byte
 	for {
-		event, err := readEvent(r)
-		if err != nil {
+		var err error
+		if event, err = readEvent(a.Request.Context(), x, r, event[:0]); err != nil {
 			return truncatedResponse()
 		}
 		done, err := s.forwardEvent(w, g, event)
@@ -125,12 +130,14 @@
 	}
 }
 
-// readEvent returns the lines of one event, including the blank line that ends it.
-func readEvent(r *bufio.Reader) ([]byte, error) {
-	var event []byte
+// readEvent appends the lines of one event to event, including the blank line that ends it, in memory of x.
+func readEvent(c context.Context, x *relay.Buffer, r *bufio.Reader, event []byte) ([]byte, error) {
 	for {
 		line, err := r.ReadSlice('\n')
-		event = append(event, line...)
+		var short error
+		if event, short = x.Append(c, event, line); short != nil {
+			return event, short
+		}
 		if errors.Is(err, bufio.ErrBufferFull) && len(event) < maxEventBytes {
 			continue
 		}
--- a/protocol/caller/generate.go
+++ b/protocol/caller/generate.go
@@ -51,6 +51,8 @@
 	// maxReservationAge is the age above which a reservation is renewed before the request
 	// is sent.
 	maxReservationAge = 500 * time.Millisecond
+	// modelCopies is the number of copies of a body that are made at a time while it is checked and encoded anew.
+	modelCopies       = 3
 	crashCheckTimeout = 300 * time.Millisecond
 	defaultRetryAfter = time.Second
 )
@@ -91,10 +93,13 @@
 		return nil, err
 	}
 	k.identity = i
-	body, err := s.readBody(w, k.request)
+	body, err := s.readBody(w, k)
 	if err != nil {
 		return nil, err
 	}
+	if err := k.holdCopies(body, modelCopies); err != nil {
+		return nil, err
+	}
 	if err := checkKeyPlacement(k.request, body); err != nil {
 		return nil, err
 	}
@@ -113,6 +118,8 @@
 	if g.body, err = q.encode(g.adapter); err != nil {
 		return nil, invalidBody("the body cannot be encoded")
 	}
+	q.fields = nil
+	k.body.ShrinkTo(int64(len(g.body)))
 	g.part = requestPart(i.workspace, g.adapter, g.body)
 	return g, s.checkSuspect(g)
 }
--- a/protocol/caller/server.go
+++ b/protocol/caller/server.go
@@ -7,7 +7,6 @@
 	"crypto/rand"
 	"encoding/hex"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -30,6 +29,7 @@
 	"gentiangauge.example/gentiangauge/state/shedding"
 	"gentiangauge.example/gentiangauge/state/timeline"
 	"gentiangauge.example/gentiangauge/timer"
+	"gentiangauge.example/gentiangauge/transport/inbound"
 	"gentiangauge.example/gentiangauge/transport/relay"
 )
 
@@ -47,7 +47,7 @@
 	Recorder    *timeline.Recorder
 	Metrics     *Metrics
 	Log         *zap.Logger
-	// Account counts the memory that is held for upstreams.
+	// Account counts the memory that is held for callers and upstreams.
 	Account *shedding.Account
 }
 
@@ -57,6 +57,8 @@
 	config   *settings.Settings
 	inFlight *inFlightRequests
 	budget   *retryBudget
+	// bodies bounds the memory of requests, buffers that of responses.
+	bodies   *relay.Buffers
 	buffers  *relay.Buffers
 	draining atomic.Bool
 	lastID   atomic.Uint64
@@ -74,7 +76,8 @@
 	s.Log = s.Log.Named("caller")
 	b := make([]byte, idPrefixBytes)
 	_, _ = rand.Read(b)
-	return &Server{Services: s, config: c, inFlight: newInFlightRequests(), buffers: relay.NewBuffers(s.Account, shedding.Responses, s.Timer), budget: newRetryBudget(c.Caller.RetryPercent), idPrefix: hex.EncodeToString(b)}
+	return &Server{Services: s, config: c, inFlight: newInFlightRequests(), bodies: relay.NewBuffers(s.Account, shedding.Requests, s.Timer),
+		buffers: relay.NewBuffers(s.Account, shedding.Responses, s.Timer), budget: newRetryBudget(c.Caller.RetryPercent), idPrefix: hex.EncodeToString(b)}
 }
 
 // Handler returns the handler of all routes.
@@ -104,6 +107,7 @@
 		IdleTimeout:       idleTimeout,
 		ErrorLog:          zap.NewStdLog(s.Log),
 	}
+	inbound.Configure(h)
 	go s.watchLease(c)
 	done := make(chan error, 1)
 	go func() { done <- h.Serve(l) }()
@@ -137,6 +141,9 @@
 	id        string
 	startedAt time.Time
 	identity  identity
+	// connection is that of the request, and body the memory that is held for the request's body.
+	connection *inbound.Conn
+	body       *relay.Buffer
 	// streaming is set when a part of a streamed response has been sent to the caller.
 	streaming bool
 }
@@ -144,7 +151,17 @@
 // handle converts f to an HTTP handler that writes the errors of f as refusals.
 func (s *Server) handle(f func(http.ResponseWriter, *call) error) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		k := &call{request: r, id: s.newRequestID(), startedAt: s.Timer.Now()}
+		n := inbound.From(r.Context())
+		if !n.SetPhase(shedding.Running) {
+			// The connection was closed to make room for another one while the request arrived.
+			panic(http.ErrAbortHandler)
+		}
+		k := &call{request: r, id: s.newRequestID(), startedAt: s.Timer.Now(), connection: n, body: s.bodies.Buffer(n.Usage())}
+		defer k.body.Release()
+		if r.ContentLength != 0 {
+			// Bounds the rest of a body that is not needed, too.
+			_ = http.NewResponseController(w).SetReadDeadline(k.startedAt.Add(s.config.Caller.BodyTimeout.Duration()))
+		}
 		w.Header().Set(requestIDHeader, k.id)
 		if s.draining.Load() {
 			w.Header().Set("Connection", "close")
@@ -153,6 +170,8 @@
 		if err == nil {
 			return
 		}
+		// The answer may take longer than the memory can wait.
+		k.body.Release()
 		x := asRefusal(err)
 		s.Metrics.countRefusal(x.Code)
 		s.recordEvent(timeline.Refused, k, string(x.Code))
@@ -172,22 +191,53 @@
 	s.Recorder.Record(timeline.Event{Part: timeline.Caller, Kind: k, Request: x.id, Workspace: string(x.identity.workspace), Detail: detail})
 }
 
-// readBody reads the whole body within the configured size and time limits.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+// Refusals of requests whose body was not read.
+const (
+	// abandonTimeout bounds how long the rest of a body is read that nobody needs, so that its caller gets the answer.
+	abandonTimeout = time.Second
+	// memoryRetryAfter is the Retry-After while other requests hold the memory for bodies.
+	memoryRetryAfter = time.Second
+)
+
+// readBody reads the whole body within the configured size and time limits, and within the memory for bodies.
+func (s *Server) readBody(w http.ResponseWriter, k *call) ([]byte, error) {
+	limit := s.config.Caller.BodyBytes
 	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(s.Timer.Now().Add(s.config.Caller.BodyTimeout.Duration()))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.config.Caller.BodyBytes))
-	var large *http.MaxBytesError
-	switch {
-	case err == nil:
+	k.connection.SetPhase(shedding.Receiving)
+	var body []byte
+	err := relay.ErrResponseTooLarge
+	if k.request.ContentLength <= limit {
+		body, err = k.body.ReadAll(k.request.Context(), k.request.Body, limit, max(0, k.request.ContentLength))
+	}
+	// A connection that has yielded gets a refusal, also if its body was whole in the end.
+	kept := k.connection.SetPhase(shedding.Running)
+	if err == nil && kept {
 		_ = control.SetReadDeadline(time.Time{})
 		return body, nil
-	case errors.As(err, &large):
-		return nil, refusal.New(refusal.BodyTooLarge, http.StatusRequestEntityTooLarge, "the body is larger than %d bytes", s.config.Caller.BodyBytes)
+	}
+	w.Header().Set("Connection", "close")
+	_ = control.SetReadDeadline(s.Timer.Now().Add(abandonTimeout))
+	return nil, bodyRefusal(err, kept, s.config.Caller)
+}
+
+// bodyRefusal returns the refusal of a request whose body was not read, as its connection has yielded or with an error.
+func bodyRefusal(err error, kept bool, c settings.Caller) error {
+	switch {
+	case !kept, errors.Is(err, relay.ErrNoMemory):
+		return refusal.Later(refusal.Overloaded, memoryRetryAfter, "other requests hold the memory for bodies")
+	case errors.Is(err, relay.ErrResponseTooLarge):
+		return refusal.New(refusal.BodyTooLarge, http.StatusRequestEntityTooLarge, "the body is larger than %d bytes", c.BodyBytes)
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		w.Header().Set("Connection", "close")
-		return nil, refusal.New(refusal.BodyTooSlow, http.StatusRequestTimeout, "the body did not arrive in %s", s.config.Caller.BodyTimeout.Duration())
+		return refusal.New(refusal.BodyTooSlow, http.StatusRequestTimeout, "the body did not arrive in %s", c.BodyTimeout.Duration())
 	default:
-		return nil, refusal.New(refusal.BodyInvalid, http.StatusBadRequest, "the body did not arrive whole")
+		return refusal.New(refusal.BodyInvalid, http.StatusBadRequest, "the body did not arrive whole")
 	}
 }
+
+// holdCopies takes the memory for a number of copies of a body.
+func (k *call) holdCopies(body []byte, copies int64) error {
+	if err := k.body.Grow(k.request.Context(), (1+copies)*int64(len(body))); err != nil {
+		return bodyRefusal(err, true, settings.Caller{})
+	}
+	return nil
+}
--- a/protocol/caller/service.go
+++ b/protocol/caller/service.go
@@ -23,7 +23,9 @@
 	replayedHeader           = "Idempotent-Replayed"
 	maxIdempotencyKeyBytes   = 255
 	maxRecordedResponseBytes = 1 << 20
-	copyBufferBytes          = 32 << 10
+	copyBufferBytes          = 8 << 10
+	// serviceCopies is the number of copies of a body that are made at a time while it is checked.
+	serviceCopies = 2
 )
 
 // forwardToService forwards a request to the plain service that its path is routed to.
@@ -39,13 +41,17 @@
 		}
 		k.identity = i
 	}
-	body, err := s.readBody(w, k.request)
+	body, err := s.readBody(w, k)
 	if err != nil {
 		return err
 	}
+	if err := k.holdCopies(body, serviceCopies); err != nil {
+		return err
+	}
 	if err := checkKeyPlacement(k.request, body); err != nil {
 		return err
 	}
+	k.body.ShrinkTo(int64(len(body)))
 	c, end := s.inFlight.register(k.request.Context(), k.identity.key)
 	defer end()
 	c, cancel := context.WithTimeout(c, s.config.Caller.CallTimeout.Duration())
@@ -187,8 +193,9 @@
 		return refusal.New(refusal.IdempotencyKeyMissing, http.StatusBadRequest, "this route needs the header %s with up to %d bytes", idempotencyHeader, maxIdempotencyKeyBytes)
 	}
 	h := sha256.New()
-	for _, part := range []string{k.request.Method, k.request.URL.RequestURI(), string(body)} {
-		_, _ = io.WriteString(h, part+"\x00")
+	for _, part := range [][]byte{[]byte(k.request.Method), []byte(k.request.URL.RequestURI()), body} {
+		_, _ = h.Write(part)
+		_, _ = h.Write([]byte{0})
 	}
 	b := idempotency.Call{Request: k.id, Workspace: k.identity.workspace, Route: r.Name, Key: key, Content: hex.EncodeToString(h.Sum(nil))}
 	a, err := s.Idempotency.Run(c, b, func(x context.Context) (idempotency.Answer, bool, error) { return s.sendOnce(x, k, r, body) })
@@ -224,7 +231,7 @@
 			return idempotency.Answer{}, true, err
 		}
 		defer answer.Body.Close()
-		x := s.buffers.Buffer(nil)
+		x := s.buffers.Buffer(k.connection.Usage())
 		defer x.Release()
 		b, err := x.ReadAll(c, answer.Body, maxRecordedResponseBytes, max(0, answer.ContentLength))
 		if err != nil {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -47,6 +47,8 @@
 	OperatorAddress string `ini:"operator-address"`
 	LogLevel        string `ini:"log-level"`
 	TimelineEvents  int    `ini:"timeline-events"`
+	MemoryMegabytes int64  `ini:"memory-megabytes"`
+	Descriptors     int    `ini:"descriptors"`
 }
 
 // Platform holds the addresses of the platform's services.
@@ -80,6 +82,7 @@
 	QueueTimeout        Milliseconds `ini:"queue-milliseconds"`
 	CallTimeout         Seconds      `ini:"call-seconds"`
 	RetryPercent        int64        `ini:"retry-percent"`
+	StallTimeout        Milliseconds `ini:"stall-milliseconds"`
 }
 
 // Quota configures how quota owners and their standbys divide a quota.
