--- a/transport/inbound/listener.go
+++ b/transport/inbound/listener.go
@@ -153,10 +153,10 @@
 	})
 }
 
-// defaultMemory is assumed where no memory is stated.
-const defaultMemory shedding.Bytes = 512 << 20
+// defaultMemory is assumed where no memory is stated. It is that of the users' smallest machines.
+const defaultMemory shedding.Bytes = 136 << 20
 
-// NewLimits returns the limits of an instance. A memory of 0 stands for 512 MB, descriptors of 0 for those that the
+// NewLimits returns the limits of an instance. A memory of 0 stands for 136 MB, descriptors of 0 for those that the
 // kernel gives the process.
 func NewLimits(memory shedding.Bytes, descriptors int) shedding.Limits {
 	if memory == 0 {
