shedding: more kept connections to upstreams, fewer places for callers by descriptors

On the grown sites an instance may keep a connection to each of 143 upstreams, more than the 106 that the share allowed. Callers stay bounded by memory there (659 and 435 places), as before.

--- a/state/shedding/limits.go
+++ b/state/shedding/limits.go
@@ -67,10 +67,10 @@
 
 // Shares of the descriptors for sockets. Each request of a caller may take another one for its upstream; the rest is for
 // connections to the store, to engines and to other instances.
-var doorShares = [doorCount]float64{Callers: 0.34, Lookups: 0.06, Checks: 0.02, Operators: 0.02, Peers: 0.1}
+var doorShares = [doorCount]float64{Callers: 0.3, Lookups: 0.06, Checks: 0.02, Operators: 0.02, Peers: 0.1}
 
 // idleUpstreamShare is the share of kept connections to upstreams.
-const idleUpstreamShare = 0.04
+const idleUpstreamShare = 0.1
 
 // Limits bound what an instance holds for clients and upstreams.
 type Limits struct {
