--- a/protocol/caller/server.go
+++ b/protocol/caller/server.go
@@ -205,7 +205,7 @@
 	control := http.NewResponseController(w)
 	k.connection.SetPhase(shedding.Receiving)
 	var body []byte
-	err := relay.ErrResponseTooLarge
+	err := relay.ErrTooLarge
 	if k.request.ContentLength <= limit {
 		body, err = k.body.ReadAll(k.request.Context(), k.request.Body, limit, max(0, k.request.ContentLength))
 	}
@@ -225,7 +225,7 @@
 	switch {
 	case !kept, errors.Is(err, relay.ErrNoMemory):
 		return refusal.Later(refusal.Overloaded, memoryRetryAfter, "other requests hold the memory for bodies")
-	case errors.Is(err, relay.ErrResponseTooLarge):
+	case errors.Is(err, relay.ErrTooLarge):
 		return refusal.New(refusal.BodyTooLarge, http.StatusRequestEntityTooLarge, "the body is larger than %d bytes", c.BodyBytes)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return refusal.New(refusal.BodyTooSlow, http.StatusRequestTimeout, "the body did not arrive in %s", c.BodyTimeout.Duration())
--- a/protocol/dispatch/forward.go
+++ b/protocol/dispatch/forward.go
@@ -139,7 +139,7 @@
 		pending = append(pending[:0], pending[complete:]...)
 		switch {
 		case len(pending) > maxEventBytes:
-			return d.handleTruncation(c, j, eris.Wrapf(relay.ErrResponseTooLarge, "an event of over %d bytes", maxEventBytes))
+			return d.handleTruncation(c, j, eris.Wrapf(relay.ErrTooLarge, "an event of over %d bytes", maxEventBytes))
 		case err == nil:
 		case err != io.EOF || len(pending) > 0 || !j.started:
 			j.sequence.cutInside = j.sequence.cutInside || len(pending) > 0
--- a/transport/relay/buffers.go
+++ b/transport/relay/buffers.go
@@ -23,7 +23,7 @@
 	maxWaiting = 32
 )
 
-// ErrNoMemory means, with ErrResponseTooLarge, that others hold the memory that a body needs.
+// ErrNoMemory means, with ErrTooLarge, that others hold the memory that a body needs.
 var ErrNoMemory = eris.New("no memory is left")
 
 // Buffers bounds the memory of all bodies of one use that are read completely. It is safe for concurrent use.
@@ -53,7 +53,7 @@
 	return &Buffer{buffers: b, claim: b.account.Claim(b.use, k)}
 }
 
-// Grow takes the memory for n bytes in all. It fails with ErrResponseTooLarge and ErrNoMemory if there is none left.
+// Grow takes the memory for n bytes in all. It fails with ErrTooLarge and ErrNoMemory if there is none left.
 func (x *Buffer) Grow(c context.Context, n int64) error {
 	more := shedding.Bytes(n) - x.claim.Taken()
 	if more <= 0 {
@@ -92,10 +92,10 @@
 	return joined{eris.Wrapf(ErrNoMemory, "%d bytes", n)}
 }
 
-// joined is an error that is ErrResponseTooLarge, too.
+// joined is an error that is ErrTooLarge, too.
 type joined struct{ error }
 
-func (j joined) Unwrap() []error { return []error{j.error, ErrResponseTooLarge} }
+func (j joined) Unwrap() []error { return []error{j.error, ErrTooLarge} }
 
 // Append appends data to b, and takes the memory for that before it is used.
 func (x *Buffer) Append(c context.Context, b, data []byte) ([]byte, error) {
@@ -126,7 +126,7 @@
 }
 
 // ReadAll reads a body of at most limit bytes, of which length are announced, or 0 if that is not
-// known. It fails with ErrResponseTooLarge if
+// known. It fails with ErrTooLarge if
 // there are more, and also with ErrNoMemory if no memory is left for it. The body counts until Release. What has arrived
 // decides how much memory is taken, not what was announced.
 func (x *Buffer) ReadAll(c context.Context, r io.Reader, limit, length int64) ([]byte, error) {
@@ -148,7 +148,7 @@
 			b = b[:len(b)+n]
 			switch {
 			case int64(len(b)) > limit:
-				return nil, eris.Wrapf(ErrResponseTooLarge, "more than %d bytes", limit)
+				return nil, eris.Wrapf(ErrTooLarge, "more than %d bytes", limit)
 			case err == io.EOF:
 				return b, nil
 			case err != nil:
@@ -156,7 +156,7 @@
 			}
 		}
 		if size == most {
-			return nil, eris.Wrapf(ErrResponseTooLarge, "more than the %d bytes that were announced", length)
+			return nil, eris.Wrapf(ErrTooLarge, "more than the %d bytes that were announced", length)
 		}
 	}
 }
--- a/transport/relay/buffers_test.go
+++ b/transport/relay/buffers_test.go
@@ -42,7 +42,7 @@
 			x := b.Buffer(nil)
 			// Nothing is released before all have ended, as if each were being forwarded.
 			held <- x
-			if _, err := x.ReadAll(t.Context(), endless{&read}, limit, 0); !errors.Is(err, relay.ErrResponseTooLarge) {
+			if _, err := x.ReadAll(t.Context(), endless{&read}, limit, 0); !errors.Is(err, relay.ErrTooLarge) {
 				t.Errorf("read with %v", err)
 			}
 		})
@@ -74,7 +74,7 @@
 	if got, err := x.ReadAll(context.Background(), broken, 10, 0); !errors.Is(err, io.ErrUnexpectedEOF) {
 		t.Errorf("read as %q, %v", got, err)
 	}
-	if got, err := x.ReadAll(context.Background(), strings.NewReader("12345678901"), 10, 0); !errors.Is(err, relay.ErrResponseTooLarge) {
+	if got, err := x.ReadAll(context.Background(), strings.NewReader("12345678901"), 10, 0); !errors.Is(err, relay.ErrTooLarge) {
 		t.Errorf("read as %q, %v", got, err)
 	}
 }
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -57,9 +57,9 @@
 	shared, indirect *http.Client
 }
 
-// ErrResponseTooLarge means that a response exceeds its size limit. An upstream may send
+// ErrTooLarge means that a body exceeds its size limit. An upstream or a caller may send
 // data without end.
-var ErrResponseTooLarge = eris.New("response too large")
+var ErrTooLarge = eris.New("body too large")
 
 const (
 	dialTimeout     = time.Second
@@ -71,12 +71,12 @@
 	MaxHeaderBytes = 64 << 10
 )
 
-// ReadAll reads a body of at most limit bytes. It fails with ErrResponseTooLarge if
+// ReadAll reads a body of at most limit bytes. It fails with ErrTooLarge if
 // there are more.
 func ReadAll(r io.Reader, limit int64) ([]byte, error) {
 	b, err := io.ReadAll(io.LimitReader(r, limit+1))
 	if err == nil && int64(len(b)) > limit {
-		return nil, eris.Wrapf(ErrResponseTooLarge, "more than %d bytes", limit)
+		return nil, eris.Wrapf(ErrTooLarge, "more than %d bytes", limit)
 	}
 	return b, err
 }
