--- a/state/shedding/limits.go
+++ b/state/shedding/limits.go
@@ -42,13 +42,13 @@
 // Shares of the memory of an instance. The rest is for the instance itself, the stacks and headers of connections, and
 // for the garbage collector to work with.
 const (
-	requestShare    = 0.35
+	requestShare    = 0.45
 	responseShare   = 0.15
 	forwardingShare = 0.25
 	// heldShare is the share of all uses together.
-	heldShare = 0.5
+	heldShare = 0.6
 	// unreadShare is the share of data that has arrived on connections and has not been read.
-	unreadShare = 0.2
+	unreadShare = 0.15
 	// RuntimeShare is the share within which the garbage collector keeps the heap.
 	RuntimeShare = 0.7
 )
@@ -59,7 +59,7 @@
 	// smallBytes is the part of each body that may use the memory that larger bodies leave free.
 	smallBytes Bytes = 64 << 10
 	// largeShare is the share of a use that larger bodies may take.
-	largeShare = 0.85
+	largeShare = 0.9
 )
 
 // fileDescriptors is the number of descriptors that are left to files.
--- a/state/shedding/shedding_test.go
+++ b/state/shedding/shedding_test.go
@@ -212,5 +212,5 @@
 func ExampleNewLimits() {
 	l := shedding.NewLimits(206<<20, 2870)
 	fmt.Println(l.Held[shedding.Requests]>>20, "MiB for requests,", l.Connections[shedding.Callers], "connections of callers")
-	// Output: 72 MiB for requests, 659 connections of callers
+	// Output: 92 MiB for requests, 494 connections of callers
 }
