relay: take the end of a response without length only after the request

What callers saw: an upstream answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was being written.

Cause: the kernel reports the reset of a connection once. If the write of the upload gets it, the read that follows sees an orderly end, and a response with neither a length nor chunks ends with its connection.

Change: transport/response is a client on top of net/http. Its connections know what was written. As such a response ends, the connection is closed, a write in progress is awaited, and the end counts only if no write has failed and the head and the body of the request were written whole.

Why it works: a reset that a read does not see was given to a write, which fails, or is in progress and fails. Without one, the read itself fails. Also ruled out here: a reader around the body of the request, after which net/http flushes the head alone, so that an upstream that answers at the head is cut (TestUnframedResponsesArePassedOnWhole failed), and httptrace.WroteRequest, which is called before the last flush.

What it costs: an upstream that answers early in full without a length and closes in good order is taken for broken off. On Linux its close with unread data is a reset in any case, and a length or chunks tell such an answer's end.

--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"gentiangauge.example/gentiangauge/transport/response"
 )
 
 // Errors returned by Send and SendOnce.
@@ -66,9 +68,6 @@
 	idleConnections = 64
 	// indirectIdleTimeout is short, since a connection through another instance takes part of its room.
 	indirectIdleTimeout = 2 * time.Second
-	// MaxHeaderBytes bounds the header of a response, at four times what callers may
-	// send.
-	MaxHeaderBytes = 64 << 10
 )
 
 // ReadAll reads a body of at most limit bytes. It fails with ErrTooLarge if
@@ -93,19 +92,14 @@
 }
 
 func newClient(dial func(c context.Context, network, address string) (net.Conn, error), idle time.Duration) *http.Client {
-	return &http.Client{
-		Transport: &http.Transport{
-			DialContext: dial, MaxResponseHeaderBytes: MaxHeaderBytes, MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: idle, DisableCompression: true,
-		},
-		CheckRedirect: noRedirect,
-	}
+	return response.NewClient(&http.Transport{DialContext: dial, MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: idle})
 }
 
 // SetMaxIdle bounds the connections that are kept, directly and through other instances. It is called before the first
 // request.
 func (r *Relay) SetMaxIdle(n int) {
 	for _, k := range []*http.Client{r.shared, r.indirect} {
-		if t, ok := k.Transport.(*http.Transport); ok {
+		if t, ok := k.Transport.(*response.Transport); ok {
 			t.MaxIdleConns = n
 		}
 	}
@@ -136,10 +130,6 @@
 	return n, err
 }
 
-func noRedirect(*http.Request, []*http.Request) error {
-	return http.ErrUseLastResponse
-}
-
 // prefersIndirect reports whether an upstream is connected to through another instance first.
 func (r *Relay) prefersIndirect(address string) bool {
 	return r.DialIndirect != nil && r.Indirect(address)
@@ -240,15 +230,14 @@
 		return nil, eris.Wrap(ErrNotSent, err.Error())
 	}
 	wrote := &atomic.Bool{}
-	t := &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: MaxHeaderBytes}
-	t.DialContext = func(c context.Context, network, address string) (net.Conn, error) {
+	t := &http.Transport{DisableKeepAlives: true, DialContext: func(c context.Context, network, address string) (net.Conn, error) {
 		n, err := r.dialAny(c, network, address)
 		if err != nil {
 			return nil, err
 		}
 		return writeTrackingConn{Conn: n, wrote: wrote}, nil
-	}
-	a, err := (&http.Client{Transport: t, CheckRedirect: noRedirect}).Do(h)
+	}}
+	a, err := response.NewClient(t).Do(h)
 	switch {
 	case err == nil:
 		return a, nil
