mesh: tell the sender how much of a request had reached the upstream

What callers saw: the same part of a body as a complete answer, if the request went through another instance because its own had no path to the upstreams.

Cause: the instance between sent "end" for each orderly end of a read, beside a write that had just failed with the reset. The check at the sender does not see that write: an upload of 1 MiB may be on its way as a whole by then.

Change: the last chunk states how many bytes were written to the upstream, and is not sent if a write has failed. The sender takes the end only if that is all that it wrote.

Why it works: what the sender wrote and the upstream did not get is on the way, in a buffer between, or in the write that failed. In each case the number is too low.

An instance of an earlier build states no number, and a response without length through it counts as broken off. That is safe, and concerns only instances that are cut off from the upstreams while builds are mixed.

--- a/transport/mesh/connect.go
+++ b/transport/mesh/connect.go
@@ -6,10 +6,13 @@
 	"errors"
 	"io"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"gentiangauge.example/gentiangauge/transport/response"
 )
 
 // connectMethod opens a connection to an upstream. The stream of the call then carries its data.
@@ -38,11 +41,12 @@
 }
 
 // chunk is data of an upstream. End is set in the last one if the upstream has closed the connection; a
-// connection that broke has none.
+// connection that broke has none. Written is then the number of bytes that were written to the upstream.
 type chunk struct {
 	Message
-	Data []byte `protobuf:"bytes,1,opt,name=data,proto3"`
-	End  bool   `protobuf:"varint,2,opt,name=end,proto3"`
+	Data    []byte `protobuf:"bytes,1,opt,name=data,proto3"`
+	End     bool   `protobuf:"varint,2,opt,name=end,proto3"`
+	Written int64  `protobuf:"varint,3,opt,name=written,proto3"`
 }
 
 // Connect opens a connection to an upstream through the instance at a mesh address. Nothing of what is
@@ -92,12 +96,24 @@
 	// rest is data that was received and not read, end is set after the last chunk.
 	rest []byte
 	end  bool
+	// sent is the number of bytes for the upstream, written the number of those that had reached it at the end.
+	sent    atomic.Int64
+	written int64
+}
+
+// Write counts the bytes before they are on their way.
+func (k *forwardedConn) Write(b []byte) (int, error) {
+	k.sent.Add(int64(len(b)))
+	return k.Conn.Write(b)
 }
 
-// Read fails with io.ErrUnexpectedEOF if the connection broke anywhere on the way, so that a response
-// which ends with its connection does not look complete.
+// Read fails with io.ErrUnexpectedEOF if the connection broke anywhere on the way, or ended before all that was
+// written had reached the upstream, so that a response which ends with its connection does not look complete.
 func (k *forwardedConn) Read(b []byte) (int, error) {
 	for len(k.rest) == 0 {
+		if k.end && k.written < k.sent.Load() {
+			return 0, io.ErrUnexpectedEOF
+		}
 		if k.end {
 			return 0, io.EOF
 		}
@@ -108,7 +124,7 @@
 			}
 			return 0, err
 		}
-		k.rest, k.end = x.Data, x.End
+		k.rest, k.end, k.written = x.Data, x.End, x.Written
 	}
 	n := copy(b, k.rest)
 	k.rest = k.rest[n:]
@@ -143,11 +159,11 @@
 	if failed != nil || write(conn, &reply{Body: body}) != nil || err != nil {
 		return
 	}
-	forward(c, conn, r, up)
+	forward(c, conn, r, response.NewConn(up))
 }
 
 // forward copies data in both directions. The caller ends the connection by closing its side.
-func forward(c context.Context, conn net.Conn, r io.Reader, up net.Conn) {
+func forward(c context.Context, conn net.Conn, r io.Reader, up *response.Conn) {
 	c, cancel := context.WithCancel(c)
 	defer cancel()
 	defer context.AfterFunc(c, func() { _ = up.Close(); _ = conn.Close() })()
@@ -159,12 +175,14 @@
 	buf := make([]byte, chunkBytes)
 	for {
 		n, err := up.Read(buf)
-		if n > 0 || err == io.EOF {
-			if write(conn, &chunk{Data: buf[:n], End: err == io.EOF}) != nil {
-				return
-			}
+		x := &chunk{Data: buf[:n]}
+		if err == io.EOF {
+			var failed error
+			x.Written, failed = up.End()
+			// The end may be that of a reset, which the write has got.
+			x.End = failed == nil
 		}
-		if err != nil {
+		if (n > 0 || x.End) && write(conn, x) != nil || err != nil {
 			return
 		}
 	}
