response: take no status outside of 200 to 599

Here it is worse: net/http panics as the instance writes such a status, so that the caller's connection closes without an answer, a retry or a line in the log. A status of 999, or 101 that nobody asked for, is passed on as it is.

Cause: net/http takes three characters that are a number, "000" and "+20" among them, and any protocol version. Nothing checks the status before its head is believed: "not run" was taken from an answer with status 000, and repeated or promised to the caller; so were Server-Leaving and a pause.

Change: the client of transport/response fails with ErrInvalidHead, and closes the connection. The request counts as sent, since it may have run.

Why it works: each response passes the check before anything of it is read. The request pipelines know such an error as a connection that broke: what may be repeated is, the rest gets 502, and no notice of the upstream is applied.

--- /dev/null
+++ b/transport/relay/head_test.go
@@ -0,0 +1,93 @@
+package relay_test
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gentiangauge.example/gentiangauge/transport/relay"
+)
+
+// startKeepingUpstream starts a server that answers each request with the same bytes, and waits for the next request on
+// the same connection. It closes the connection after the bytes if close is set. It sends the number of requests of each
+// connection that has ended.
+func startKeepingUpstream(t *testing.T, answer string, closes bool) (address string, requests <-chan int) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	ended := make(chan int, 10)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				r := bufio.NewReader(c)
+				n := 0
+				for ; n == 0 || !closes; n++ {
+					if _, err := http.ReadRequest(r); err != nil {
+						break
+					}
+					fmt.Fprint(c, answer)
+				}
+				ended <- n
+			}()
+		}
+	}()
+	return l.Addr().String(), ended
+}
+
+// checkBrokenHead sends requests to an upstream whose answers have a broken head. None of them is a response, each may
+// have reached the upstream, and none of their connections is used again.
+func checkBrokenHead(t *testing.T, answer string, closes bool) {
+	t.Helper()
+	address, requests := startKeepingUpstream(t, answer, closes)
+	for name, send := range senders(relay.New()) {
+		for range 2 {
+			a, b, err := exchange(t.Context(), send, bookRequest(address))
+			if err == nil {
+				t.Errorf("%s: status %d, header %q, body %q", name, a.StatusCode, a.Header, b)
+			}
+			if errors.Is(err, relay.ErrNotSent) {
+				t.Errorf("%s: the request counts as not sent", name)
+			}
+		}
+	}
+	for range 4 {
+		select {
+		case n := <-requests:
+			if n != 1 {
+				t.Errorf("%d requests on one connection", n)
+			}
+		case <-time.After(10 * time.Second):
+			t.Fatal("a connection is kept")
+		}
+	}
+}
+
+// A status outside of the range that a final response may have is no status.
+func TestResponseWithAnInvalidStatusIsNoResponse(t *testing.T) {
+	for _, status := range []string{"000", "099", "+20", "-20", "101", "600", "999", "20", "2000", "0x2", "two"} {
+		t.Run(status, func(t *testing.T) {
+			checkBrokenHead(t, "HTTP/1.1 "+status+" Odd\r\nContent-Length: 4\r\n\r\nbody", false)
+		})
+		t.Run(status+" without length", func(t *testing.T) {
+			checkBrokenHead(t, "HTTP/1.1 "+status+" Odd\r\n\r\nbody", true)
+		})
+	}
+}
+
+// The same holds for a response of another protocol version.
+func TestResponseOfAnotherProtocolIsNoResponse(t *testing.T) {
+	for _, p := range []string{"HTTP/2.0", "HTTP/0.9", "HTTP/9.9", "HTTP/11", "http/1.1"} {
+		t.Run(p, func(t *testing.T) { checkBrokenHead(t, p+" 200 OK\r\nContent-Length: 4\r\n\r\nbody", false) })
+	}
+}
--- a/transport/response/response.go
+++ b/transport/response/response.go
@@ -46,7 +46,8 @@
 	}
 }
 
-// RoundTrip sends a request. Reading the body of the response fails with ErrIncomplete if it has neither a length nor
+// RoundTrip sends a request. It fails with ErrInvalidHead, and closes the connection, if the head of the response is
+// invalid. Reading the body of the response fails with ErrIncomplete if it has neither a length nor
 // chunks and ends before the request was written.
 func (t *Transport) RoundTrip(q *http.Request) (*http.Response, error) {
 	var conn atomic.Pointer[Conn]
@@ -59,6 +60,12 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := checkHead(r); err != nil {
+		// What follows an invalid head belongs to no request.
+		_ = conn.Load().Close()
+		_ = r.Body.Close()
+		return nil, err
+	}
 	r.Body = &body{ReadCloser: r.Body, conn: conn.Load(), unframed: r.ContentLength < 0 && len(r.TransferEncoding) == 0}
 	return r, nil
 }
