response: take no head with an invalid name of a field

Cause: net/http takes blanks in names. With "Content-Length : 4" the length is unknown, so that what follows the fourth byte becomes a part of the body; "Transfer-Encoding : chunked" beside a length leaves the framing of the chunks in the body.

Also taken: "B C: d" in a trailer (no trailer is passed on) and "X Y" in a head of status 103. A control byte, a DEL, a tab, a byte above 127, a parenthesis or no name, a control byte in a value and two lengths were refused by net/http before: handled, tests only.

The connection is closed.

Why it works: it is the same check as that of the status, before anything is read of the head, and a trailer is checked before the end of the body is reported.

What remains: net/http keeps a connection whose response has no body before the head can be checked. It is closed then, and a request that has just taken it is repeated or fails as one whose connection broke.

--- a/transport/relay/head_test.go
+++ b/transport/relay/head_test.go
@@ -91,3 +91,27 @@
 		t.Run(p, func(t *testing.T) { checkBrokenHead(t, p+" 200 OK\r\nContent-Length: 4\r\n\r\nbody", false) })
 	}
 }
+
+// net/http takes some names of header fields that are no tokens. With a blank before the colon, the length of the body is
+// unknown, so that what follows the body becomes a part of it.
+func TestResponseWithAnInvalidFieldNameIsNoResponse(t *testing.T) {
+	for _, field := range []string{
+		"Content-Length : 4", "Content Length: 4", "X Y: 4", "X\x01Y: 4", "X\tY: 4", "X\x7fY: 4", "X(Y): 4", ": 4", "X\x80: 4", "no colon",
+	} {
+		t.Run(field, func(t *testing.T) {
+			checkBrokenHead(t, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n"+field+"\r\n\r\nbody", false)
+			checkBrokenHead(t, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"+field+"\r\n\r\n", false)
+			checkBrokenHead(t, "HTTP/1.1 200 OK\r\n"+field+"\r\n\r\nbody and more", true)
+			checkBrokenHead(t, "HTTP/1.1 503 Unavailable\r\nContent-Length: 4\r\n"+field+"\r\n\r\nbody", false)
+		})
+	}
+	for name, answer := range map[string]string{
+		"chunks beside a length":  "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\nContent-Length: 9\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		"trailer":                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: B\r\n\r\n4\r\nbody\r\n0\r\nB C: d\r\n\r\n",
+		"early hints":             "HTTP/1.1 103 Early Hints\r\nX Y: 4\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+		"two lengths":             "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nbody",
+		"control byte in a value": "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX: a\x01b\r\n\r\nbody",
+	} {
+		t.Run(name, func(t *testing.T) { checkBrokenHead(t, answer, false) })
+	}
+}
--- a/transport/response/response.go
+++ b/transport/response/response.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"sync/atomic"
 
 	"github.com/rotisserie/eris"
@@ -47,16 +48,20 @@
 }
 
 // RoundTrip sends a request. It fails with ErrInvalidHead, and closes the connection, if the head of the response is
-// invalid. Reading the body of the response fails with ErrIncomplete if it has neither a length nor
-// chunks and ends before the request was written.
+// invalid. Reading the body of the response fails with ErrInvalidHead if that of its trailer is, and with ErrIncomplete if
+// it has neither a length nor chunks and ends before the request was written.
 func (t *Transport) RoundTrip(q *http.Request) (*http.Response, error) {
 	var conn atomic.Pointer[Conn]
-	r, err := t.Transport.RoundTrip(q.WithContext(httptrace.WithClientTrace(q.Context(), &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
-		if k, ok := i.Conn.(*Conn); ok {
-			k.begin(q.ContentLength)
-			conn.Store(k)
-		}
-	}})))
+	trace := &httptrace.ClientTrace{
+		GotConn: func(i httptrace.GotConnInfo) {
+			if k, ok := i.Conn.(*Conn); ok {
+				k.begin(q.ContentLength)
+				conn.Store(k)
+			}
+		},
+		Got1xxResponse: func(_ int, h textproto.MIMEHeader) error { return checkNames(h) },
+	}
+	r, err := t.Transport.RoundTrip(q.WithContext(httptrace.WithClientTrace(q.Context(), trace)))
 	if err != nil {
 		return nil, err
 	}
@@ -66,14 +71,15 @@
 		_ = r.Body.Close()
 		return nil, err
 	}
-	r.Body = &body{ReadCloser: r.Body, conn: conn.Load(), unframed: r.ContentLength < 0 && len(r.TransferEncoding) == 0}
+	r.Body = &body{ReadCloser: r.Body, response: r, conn: conn.Load(), unframed: r.ContentLength < 0 && len(r.TransferEncoding) == 0}
 	return r, nil
 }
 
 // body is the body of a response.
 type body struct {
 	io.ReadCloser
-	conn *Conn
+	response *http.Response
+	conn     *Conn
 	// unframed is set if the body has neither a length nor chunks, and ends with its connection.
 	unframed bool
 }
@@ -81,8 +87,20 @@
 // Read returns io.EOF only at the end that the server meant.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err == io.EOF && b.unframed && !b.conn.wroteRequest() {
-		err = ErrIncomplete
+	if err == io.EOF {
+		err = b.checkEnd()
 	}
 	return n, err
 }
+
+// checkEnd returns io.EOF if the body is complete.
+func (b *body) checkEnd() error {
+	if b.unframed && !b.conn.wroteRequest() {
+		return ErrIncomplete
+	}
+	if err := checkNames(b.response.Trailer); err != nil {
+		_ = b.conn.Close()
+		return err
+	}
+	return io.EOF
+}
