engine: check what engines answer, and bound it

What callers saw: nothing reported; the own interface reads reports, lists of models and answers to orders of its engines with a client of its own.

Cause: as for upstreams: an http.Client that takes invalid heads and follows redirects. Besides, the status of a report was not looked at, and a report or a list had no bound.

Change: the client of transport/response, one function that reads a body of status 200 and at most 4 MiB.

Why it works: an engine that has not answered is ErrUnreachable, after which its state is read again; a token is fenced only by an engine that says so.

--- a/protocol/engine/engine.go
+++ b/protocol/engine/engine.go
@@ -3,7 +3,9 @@
 package engine
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"net/http"
 	"strconv"
 	"time"
@@ -15,6 +17,8 @@
 
 	"gentiangauge.example/gentiangauge/state/adapter"
 	"gentiangauge.example/gentiangauge/state/lists"
+	"gentiangauge.example/gentiangauge/transport/relay"
+	"gentiangauge.example/gentiangauge/transport/response"
 )
 
 // FencingHeader carries the fencing token of a load or unload request.
@@ -53,12 +57,15 @@
 	http *http.Client
 }
 
-const idleConnections = 4
+const (
+	idleConnections = 4
+	// maxResponseBytes bounds the body of a response.
+	maxResponseBytes = 4 << 20
+)
 
 // New returns a client of engines.
 func New() *Client {
-	t := &http.Transport{MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: time.Minute}
-	k := &httpClient{http: &http.Client{Transport: t}}
+	k := &httpClient{http: response.NewClient(&http.Transport{MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: time.Minute})}
 	return &Client{Load: k.load, Unload: k.unload, Models: k.models, Report: k.report}
 }
 
@@ -101,6 +108,27 @@
 	return k.post(c, sling.New().Post("http://"+address+"/v1/unload_lora_adapter").BodyJSON(unloadRequest{Name: string(a)}), n)
 }
 
+// get returns the body of a response with status 200. It fails with ErrUnreachable.
+func (k *httpClient) get(c context.Context, url string) ([]byte, error) {
+	r, err := http.NewRequestWithContext(c, http.MethodGet, url, http.NoBody)
+	if err != nil {
+		return nil, eris.Wrap(err, "build engine request")
+	}
+	a, err := k.http.Do(r)
+	if err != nil {
+		return nil, eris.Wrap(ErrUnreachable, err.Error())
+	}
+	defer a.Body.Close()
+	if a.StatusCode != http.StatusOK {
+		return nil, eris.Wrapf(ErrUnreachable, "%s: status %d", url, a.StatusCode)
+	}
+	data, err := relay.ReadAll(a.Body, maxResponseBytes)
+	if err != nil {
+		return nil, eris.Wrapf(ErrUnreachable, "%s: %v", url, err)
+	}
+	return data, nil
+}
+
 type modelMessage struct {
 	ID string `json:"id"`
 }
@@ -111,13 +139,12 @@
 
 func (k *httpClient) models(c context.Context, address string) ([]lists.Adapter, error) {
 	var m modelsMessage
-	r, err := sling.New().Get("http://" + address + "/v1/models").Request()
+	data, err := k.get(c, "http://"+address+"/v1/models")
 	if err != nil {
-		return nil, eris.Wrap(err, "build engine request")
+		return nil, err
 	}
-	a, err := sling.New().Client(k.http).Do(r.WithContext(c), &m, nil)
-	if err != nil || a.StatusCode != http.StatusOK {
-		return nil, eris.Wrapf(ErrUnreachable, "list models of %s", address)
+	if err := json.Unmarshal(data, &m); err != nil {
+		return nil, eris.Wrapf(ErrUnreachable, "list models of %s: %v", address, err)
 	}
 	all := make([]lists.Adapter, len(m.Data))
 	for i, x := range m.Data {
@@ -127,17 +154,12 @@
 }
 
 func (k *httpClient) report(c context.Context, address string) (Report, error) {
-	r, err := http.NewRequestWithContext(c, http.MethodGet, "http://"+address+"/metrics", nil)
+	data, err := k.get(c, "http://"+address+"/metrics")
 	if err != nil {
-		return Report{}, eris.Wrap(err, "build engine request")
+		return Report{}, err
 	}
-	a, err := k.http.Do(r)
-	if err != nil {
-		return Report{}, eris.Wrap(ErrUnreachable, err.Error())
-	}
-	defer a.Body.Close()
 	p := expfmt.NewTextParser(model.UTF8Validation)
-	families, err := p.TextToMetricFamilies(a.Body)
+	families, err := p.TextToMetricFamilies(bytes.NewReader(data))
 	if err != nil {
 		return Report{}, eris.Wrap(ErrUnreachable, err.Error())
 	}
