provider: check what the platform's services answer, and bound it

What callers saw: nothing reported; the own interface reads its table, its objects and the directory with a client of its own.

Cause: an http.Client that takes invalid heads. An object was cut at the bound of 256 MiB and taken for whole, other bodies had no bound, and what followed a row list was ignored.

Evidence, on the code before (provider_test.go): with "X Y: 1" or "X : 1" in the head all five calls succeed, a 409 is "transaction condition does not hold", a 404 is "object not found". Handled: status 000 and 999.

Change: the client of transport/response; one function reads each body within a bound and fails with ErrUnavailable beyond it.

Why it works: after ErrUnavailable a write counts as one that may have taken effect.

After: all tests pass, two runs with the race detector.

--- a/transport/provider/directory.go
+++ b/transport/provider/directory.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
-
-	"github.com/rotisserie/eris"
 )
 
 // Kinds of instances in the directory.
@@ -59,13 +56,9 @@
 
 func (c *client) listInstances(x context.Context) ([]Instance, error) {
 	var all []instanceMessage
-	status, err := c.do(x, c.base.New().Get("directory/instances"), &all)
-	if err != nil {
+	if err := c.get(x, "list instances", c.base.New().Get("directory/instances"), &all); err != nil {
 		return nil, err
 	}
-	if status != http.StatusOK {
-		return nil, eris.Wrapf(ErrUnavailable, "list instances: status %d", status)
-	}
 	out := make([]Instance, len(all))
 	for i, m := range all {
 		out[i] = Instance(m)
--- a/transport/provider/objects.go
+++ b/transport/provider/objects.go
@@ -3,11 +3,9 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"time"
 
-	"github.com/dghubble/sling"
 	"github.com/rotisserie/eris"
 )
 
@@ -28,29 +26,8 @@
 	return &Objects{Put: c.putObject, Get: c.getObject}
 }
 
-// transfer sends a request whose body or response is not JSON, and returns the HTTP
-// status and the response body.
-func (c *client) transfer(x context.Context, s *sling.Sling) (int, []byte, error) {
-	x, cancel := context.WithTimeout(x, c.timeout)
-	defer cancel()
-	r, err := s.Request()
-	if err != nil {
-		return 0, nil, eris.Wrap(err, "build object request")
-	}
-	answer, err := c.http.Do(r.WithContext(x))
-	if err != nil {
-		return 0, nil, eris.Wrap(ErrUnavailable, err.Error())
-	}
-	defer answer.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(answer.Body, maxObjectBytes))
-	if err != nil {
-		return 0, nil, eris.Wrap(ErrUnavailable, err.Error())
-	}
-	return answer.StatusCode, data, nil
-}
-
 func (c *client) putObject(x context.Context, name string, data []byte) error {
-	status, _, err := c.transfer(x, c.base.New().Put("objects/"+name).Body(bytes.NewReader(data)))
+	status, _, err := c.do(x, c.base.New().Put("objects/"+name).Body(bytes.NewReader(data)), maxResponseBytes)
 	if err != nil {
 		return err
 	}
@@ -61,7 +38,7 @@
 }
 
 func (c *client) getObject(x context.Context, name string) ([]byte, error) {
-	status, data, err := c.transfer(x, c.base.New().Get("objects/"+name))
+	status, data, err := c.do(x, c.base.New().Get("objects/"+name), maxObjectBytes)
 	switch {
 	case err != nil:
 		return nil, err
--- a/transport/provider/table.go
+++ b/transport/provider/table.go
@@ -4,11 +4,15 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"time"
 
 	"github.com/dghubble/sling"
 	"github.com/rotisserie/eris"
+
+	"gentiangauge.example/gentiangauge/transport/relay"
+	"gentiangauge.example/gentiangauge/transport/response"
 )
 
 // Errors returned by the clients.
@@ -23,6 +27,9 @@
 	ErrNotFound = eris.New("object not found")
 )
 
+// maxResponseBytes bounds the body of a response other than an object.
+const maxResponseBytes = 64 << 20
+
 // RowVersion counts the writes to a row. It is 0 if the row does not exist.
 type RowVersion int64
 
@@ -97,23 +104,43 @@
 
 func newClient(address string, timeout time.Duration) *client {
 	t := &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute}
-	return &client{http: &http.Client{Transport: t}, base: sling.New().Base("http://" + address + "/"), timeout: timeout}
+	return &client{http: response.NewClient(t), base: sling.New().Base("http://" + address + "/"), timeout: timeout}
 }
 
-// do sends a request with a context, which sling does not support itself, and decodes a
-// successful response into success. It returns the HTTP status.
-func (c *client) do(x context.Context, s *sling.Sling, success any) (int, error) {
+// do sends a request with a context, which sling does not support itself, and returns the HTTP status and the body of the
+// response. It fails with ErrUnavailable if the body has more than limit bytes.
+func (c *client) do(x context.Context, s *sling.Sling, limit int64) (int, []byte, error) {
 	x, cancel := context.WithTimeout(x, c.timeout)
 	defer cancel()
 	r, err := s.Request()
 	if err != nil {
-		return 0, eris.Wrap(err, "build platform request")
+		return 0, nil, eris.Wrap(err, "build platform request")
+	}
+	answer, err := c.http.Do(r.WithContext(x))
+	if err != nil {
+		return 0, nil, eris.Wrap(ErrUnavailable, err.Error())
 	}
-	answer, err := s.Client(c.http).Do(r.WithContext(x), success, nil)
+	defer answer.Body.Close()
+	data, err := relay.ReadAll(answer.Body, limit)
+	if err != nil {
+		return 0, nil, eris.Wrap(ErrUnavailable, err.Error())
+	}
+	return answer.StatusCode, data, nil
+}
+
+// get sends a request and decodes the response. It fails with ErrUnavailable unless its status is 200.
+func (c *client) get(x context.Context, what string, s *sling.Sling, body any) error {
+	status, data, err := c.do(x, s, maxResponseBytes)
 	if err != nil {
-		return 0, eris.Wrap(ErrUnavailable, err.Error())
+		return err
+	}
+	if status != http.StatusOK {
+		return eris.Wrapf(ErrUnavailable, "%s: status %d", what, status)
+	}
+	if err := json.Unmarshal(data, body); err != nil {
+		return eris.Wrapf(ErrUnavailable, "%s: %v", what, err)
 	}
-	return answer.StatusCode, nil
+	return nil
 }
 
 // NewTable returns a client of the table service at an IP address and port.
@@ -125,13 +152,9 @@
 func (c *client) list(x context.Context, prefix, after string, limit int) ([]Row, error) {
 	var rows []rowMessage
 	q := listQuery{Prefix: prefix, After: after, Limit: limit}
-	status, err := c.do(x, c.base.New().Get("table/rows").QueryStruct(q), &rows)
-	if err != nil {
+	if err := c.get(x, "list rows", c.base.New().Get("table/rows").QueryStruct(q), &rows); err != nil {
 		return nil, err
 	}
-	if status != http.StatusOK {
-		return nil, eris.Wrapf(ErrUnavailable, "list rows: status %d", status)
-	}
 	out := make([]Row, len(rows))
 	for i, r := range rows {
 		out[i] = Row{Key: r.Key, Value: r.Value, Version: RowVersion(r.Version)}
@@ -147,7 +170,7 @@
 	for _, v := range t.Puts {
 		m.Puts = append(m.Puts, putMessage(v))
 	}
-	status, err := c.do(x, c.base.New().Post("table/transact").BodyJSON(m), nil)
+	status, _, err := c.do(x, c.base.New().Post("table/transact").BodyJSON(m), maxResponseBytes)
 	switch {
 	case err != nil:
 		return err
