inbound: write what HTTP servers report to the log

What operators saw: a panic in a handler, as after a response with status 000, left no line in the log. It stood on standard error, on many lines, outside of what is collected.

Cause: only the own interface's server for callers had an ErrorLog.

Evidence, without the change: TestPanicOfAHandlerIsLogged: "http: panic serving 127.0.0.1:43768: invalid WriteHeader code 0" on standard error, no line in the log.

Change: inbound.Configure, which each server passes, sets it.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -220,7 +220,7 @@
 		Recorder: i.Recorder, Metrics: i.metrics, InFlight: i.Server.InFlight, Lease: i.Settings.Lease.Duration.Duration(),
 	})
 	s := &http.Server{Handler: inbound.WithoutBodies(h, i.Timer), ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
-	inbound.Configure(s)
+	inbound.Configure(s, i.log)
 	stop := context.AfterFunc(i.life, func() { _ = s.Close() })
 	defer stop()
 	err := s.Serve(l)
--- a/protocol/caller/server.go
+++ b/protocol/caller/server.go
@@ -105,9 +105,8 @@
 		ReadHeaderTimeout: s.config.Caller.BodyTimeout.Duration(),
 		MaxHeaderBytes:    s.config.Caller.HeaderBytes,
 		IdleTimeout:       idleTimeout,
-		ErrorLog:          zap.NewStdLog(s.Log),
 	}
-	inbound.Configure(h)
+	inbound.Configure(h, s.Log)
 	go s.watchLease(c)
 	done := make(chan error, 1)
 	go func() { done <- h.Serve(l) }()
--- a/transport/inbound/inbound_test.go
+++ b/transport/inbound/inbound_test.go
@@ -6,10 +6,12 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"gentiangauge.example/gentiangauge/state/shedding"
 	"gentiangauge.example/gentiangauge/timer"
@@ -47,7 +49,7 @@
 	s := services()
 	l := listen(t, shedding.Callers, s)
 	x := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
-	inbound.Configure(x)
+	inbound.Configure(x, s.Log)
 	go func() { _ = x.Serve(l) }()
 	t.Cleanup(func() { _ = x.Close() })
 	var all []net.Conn
@@ -121,3 +123,23 @@
 		t.Error("the request may run")
 	}
 }
+
+// A handler panics. The operators find that in the log, with the other lines of the instance.
+func TestPanicOfAHandlerIsLogged(t *testing.T) {
+	s := services()
+	core, lines := observer.New(zap.InfoLevel)
+	s.Log = zap.New(core)
+	l := listen(t, shedding.Callers, s)
+	x := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(0) })}
+	inbound.Configure(x, s.Log)
+	go func() { _ = x.Serve(l) }()
+	t.Cleanup(func() { _ = x.Close() })
+	c := dial(t, l)
+	_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	if n, err := c.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("%d bytes, %v", n, err)
+	}
+	if all := lines.All(); len(all) != 1 || all[0].LoggerName != "http" || !strings.Contains(all[0].Message, "invalid WriteHeader code 0") {
+		t.Errorf("lines %+v", all)
+	}
+}
--- a/transport/inbound/listener.go
+++ b/transport/inbound/listener.go
@@ -110,8 +110,9 @@
 }
 
 // Configure has an HTTP server tell the account what its connections are used for. The handler finds its connection with
-// From.
-func Configure(x *http.Server) {
+// From. What the server reports, such as a panic in a handler, goes to the log.
+func Configure(x *http.Server, log *zap.Logger) {
+	x.ErrorLog = zap.NewStdLog(log.Named("http"))
 	x.ConnContext = func(c context.Context, n net.Conn) context.Context {
 		if k, ok := n.(*Conn); ok {
 			return context.WithValue(c, connKey{}, k)
