response: keep connections whose response has no body

The response to a HEAD request may state no length; it has no body, and its end is not that of the connection. It was taken for one that ends with its connection, which was closed, and with it a request that had just taken the connection (since, not released).

--- a/transport/relay/head_test.go
+++ b/transport/relay/head_test.go
@@ -115,3 +115,21 @@
 		t.Run(name, func(t *testing.T) { checkBrokenHead(t, answer, false) })
 	}
 }
+
+// The responses to requests for heads state no length and have no body. Their end is not that of the connection, which
+// is kept.
+func TestConnectionIsKeptAfterAHeadWithoutLength(t *testing.T) {
+	address, requests := startKeepingUpstream(t, "HTTP/1.1 200 OK\r\n\r\n", false)
+	r := relay.New()
+	const some = 5
+	for range some {
+		if _, _, err := exchange(t.Context(), r.Send, relay.Request{Method: http.MethodHead, Address: address, RequestURI: "/"}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	select {
+	case n := <-requests:
+		t.Errorf("a connection has ended after %d requests", n)
+	default:
+	}
+}
--- a/transport/response/response.go
+++ b/transport/response/response.go
@@ -71,7 +71,9 @@
 		_ = r.Body.Close()
 		return nil, err
 	}
-	r.Body = &body{ReadCloser: r.Body, response: r, conn: conn.Load(), unframed: r.ContentLength < 0 && len(r.TransferEncoding) == 0}
+	if r.Body != http.NoBody {
+		r.Body = &body{ReadCloser: r.Body, response: r, conn: conn.Load(), unframed: r.ContentLength < 0 && len(r.TransferEncoding) == 0}
+	}
 	return r, nil
 }
 
