inbound: the test of idle connections awaits that they are idle

The dump has it reading from the first connection, with three connections served: another one than the first had yielded.

Cause: a client has its response before the server takes the connection for idle, so the second connection could be idle before the first.

Change: the test waits for the idle state of each connection, and checks the same as before. A read that waits for the end of the connection has a deadline now, which the test asked for and did not set.

--- a/transport/inbound/inbound_test.go
+++ b/transport/inbound/inbound_test.go
@@ -50,6 +50,14 @@
 	l := listen(t, shedding.Callers, s)
 	x := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
 	inbound.Configure(x, s.Log)
+	// A client may have its response before the server takes the connection for idle.
+	idle, state := make(chan struct{}), x.ConnState
+	x.ConnState = func(n net.Conn, h http.ConnState) {
+		state(n, h)
+		if h == http.StateIdle {
+			idle <- struct{}{}
+		}
+	}
 	go func() { _ = x.Serve(l) }()
 	t.Cleanup(func() { _ = x.Close() })
 	var all []net.Conn
@@ -60,6 +68,10 @@
 		if n, err := c.Read(make([]byte, 1)); err != nil {
 			t.Fatalf("connection %d: read %d bytes: %v", len(all), n, err)
 		}
+		<-idle
+	}
+	if err := all[0].SetReadDeadline(time.Now().Add(10 * time.Second)); err != nil {
+		t.Fatal(err)
 	}
 	if _, err := io.Copy(io.Discard, all[0]); errors.Is(err, os.ErrDeadlineExceeded) {
 		t.Error(err)
