--- a/transport/relay/broken_test.go
+++ b/transport/relay/broken_test.go
@@ -16,26 +16,12 @@
 
 // startUpstream starts a server that reads the head of one request of each connection and hands both to answer.
 func startUpstream(t *testing.T, answer func(c *net.TCPConn, q *http.Request)) (address string) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				if q, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					answer(c.(*net.TCPConn), q)
-				}
-			}()
+	t.Helper()
+	return listen(t, func(c *net.TCPConn) {
+		if q, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			answer(c, q)
 		}
-	}()
-	return l.Addr().String()
+	})
 }
 
 // senders returns both ways to send a request.
--- a/transport/relay/head_test.go
+++ b/transport/relay/head_test.go
@@ -13,36 +13,22 @@
 )
 
 // startKeepingUpstream starts a server that answers each request with the same bytes, and waits for the next request on
-// the same connection. It closes the connection after the bytes if close is set. It sends the number of requests of each
+// the same connection. It closes the connection after the bytes if closes is set. It sends the number of requests of each
 // connection that has ended.
 func startKeepingUpstream(t *testing.T, answer string, closes bool) (address string, requests <-chan int) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
+	t.Helper()
 	ended := make(chan int, 10)
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
+	return listen(t, func(c *net.TCPConn) {
+		r := bufio.NewReader(c)
+		n := 0
+		for ; n == 0 || !closes; n++ {
+			if _, err := http.ReadRequest(r); err != nil {
+				break
 			}
-			go func() {
-				defer c.Close()
-				r := bufio.NewReader(c)
-				n := 0
-				for ; n == 0 || !closes; n++ {
-					if _, err := http.ReadRequest(r); err != nil {
-						break
-					}
-					fmt.Fprint(c, answer)
-				}
-				ended <- n
-			}()
+			fmt.Fprint(c, answer)
 		}
-	}()
-	return l.Addr().String(), ended
+		ended <- n
+	}), ended
 }
 
 // checkBrokenHead sends requests to an upstream whose answers have a broken head. None of them is a response, each may
--- a/transport/relay/relay_test.go
+++ b/transport/relay/relay_test.go
@@ -13,31 +13,39 @@
 	"gentiangauge.example/gentiangauge/transport/relay"
 )
 
-// startFlakyServer starts a server that answers the first request of each connection
-// and closes the connection after reading the second one. It counts the requests to
-// /book.
-func startFlakyServer(t *testing.T) (string, *atomic.Int64) {
+// listen accepts connections, hands each to serve, and closes it after that.
+func listen(t *testing.T, serve func(c *net.TCPConn)) (address string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
-	var runs atomic.Int64
 	go func() {
 		for {
 			c, err := l.Accept()
 			if err != nil {
 				return
 			}
-			go serveTwo(c, &runs)
+			go func() {
+				defer c.Close()
+				serve(c.(*net.TCPConn))
+			}()
 		}
 	}()
-	return l.Addr().String(), &runs
+	return l.Addr().String()
+}
+
+// startFlakyServer starts a server that answers the first request of each connection
+// and closes the connection after reading the second one. It counts the requests to
+// /book.
+func startFlakyServer(t *testing.T) (string, *atomic.Int64) {
+	t.Helper()
+	var runs atomic.Int64
+	return listen(t, func(c *net.TCPConn) { serveTwo(c, &runs) }), &runs
 }
 
 func serveTwo(c net.Conn, runs *atomic.Int64) {
-	defer c.Close()
 	r := bufio.NewReader(c)
 	for i := range 2 {
 		q, err := http.ReadRequest(r)
@@ -108,22 +116,8 @@
 }
 
 func TestErrConnectionBrokenMeansSomethingWasWritten(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			_, _ = http.ReadRequest(bufio.NewReader(c))
-			_ = c.Close()
-		}
-	}()
-	if _, err := relay.New().SendOnce(context.Background(), bookRequest(l.Addr().String())); !errors.Is(err, relay.ErrConnectionBroken) {
+	address := listen(t, func(c *net.TCPConn) { _, _ = http.ReadRequest(bufio.NewReader(c)) })
+	if _, err := relay.New().SendOnce(context.Background(), bookRequest(address)); !errors.Is(err, relay.ErrConnectionBroken) {
 		t.Errorf("dropped connection: got %v, want ErrConnectionBroken", err)
 	}
 }
@@ -131,27 +125,9 @@
 // startCuttingServer starts a server that writes the first cut bytes of a response to each request and closes
 // the connection.
 func startCuttingServer(t *testing.T, response string) (address string, cut *atomic.Int64) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
+	t.Helper()
 	cut = &atomic.Int64{}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					fmt.Fprint(c, response[:cut.Load()])
-				}
-			}()
-		}
-	}()
-	return l.Addr().String(), cut
+	return startUpstream(t, func(c *net.TCPConn, _ *http.Request) { fmt.Fprint(c, response[:cut.Load()]) }), cut
 }
 
 // A response breaks off after any number of its bytes. Neither a cut head nor a cut body of a stated length is
@@ -159,8 +135,7 @@
 func TestResponseThatEndsEarlyIsNoResponse(t *testing.T) {
 	const whole = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nX-Request-Id: 1\r\nContent-Length: 4\r\n\r\nbody"
 	address, cut := startCuttingServer(t, whole)
-	r := relay.New()
-	for name, send := range map[string]func(context.Context, relay.Request) (*http.Response, error){"send": r.Send, "send once": r.SendOnce} {
+	for name, send := range senders(relay.New()) {
 		for n := range len(whole) + 1 {
 			cut.Store(int64(n))
 			a, err := send(t.Context(), bookRequest(address))
