review: streams are refused after a restart of the fleet in a later era of the store

One of four instances is killed, and its callers take their streams up at the others. None goes on, though one software version has served all the time; without the earlier drill all do.

--- /dev/null
+++ b/review/_referee/replica.go
@@ -0,0 +1,325 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const heartbeatInterval = 1200 * time.Millisecond
+
+// replica stands in for the replicas of one address, which start one after the other.
+type replica struct {
+	id, service, address, zone string
+	slots                      int
+	// model is the base model that an engine holds from the start of the deployment on, or empty for a plain
+	// service.
+	model  string
+	store  *platformStore
+	record *record
+
+	mu       sync.Mutex
+	software string
+	born     int64
+	loaded   bool
+	seq      int64
+	fence    int64
+	up       bool
+	state    string
+	server   *http.Server
+	conns    map[net.Conn]bool
+	// stopped is closed as the process ends.
+	stopped chan struct{}
+	running atomic.Int64
+	// handle runs a request that the replica has accepted. Nil stands for runDefault.
+	handle func(p *process, w http.ResponseWriter, r *http.Request)
+	onRun  func(e runEvent)
+}
+
+// process is one start of a replica.
+type process struct {
+	*replica
+	software string
+	born     int64
+	stopped  chan struct{}
+}
+
+// runEvent is the begin of a run.
+type runEvent struct {
+	at       time.Duration
+	id       string
+	replica  string
+	software string
+	born     int64
+	after    string
+	header   http.Header
+}
+
+func newReplica(s *platformStore, r *record, id, service, zone, model string, slots int) (*replica, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	x := &replica{id: id, service: service, address: l.Addr().String(), zone: zone, model: model, slots: slots, store: s, record: r, state: "ready", conns: map[net.Conn]bool{}}
+	_ = l.Close()
+	return x, nil
+}
+
+// start starts a process of the replica at a software version. An engine holds its model only at the first start of
+// the deployment.
+func (x *replica) start(software string, holdsModel bool) error {
+	var l net.Listener
+	var err error
+	for range 50 {
+		if l, err = net.Listen("tcp", x.address); err == nil {
+			break
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	if err != nil {
+		return err
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.software, x.born, x.loaded, x.seq, x.fence, x.up, x.state = software, time.Now().UnixMilli(), holdsModel, 0, 0, true, "ready"
+	x.stopped = make(chan struct{})
+	p := &process{replica: x, software: software, born: x.born, stopped: x.stopped}
+	m := http.NewServeMux()
+	m.HandleFunc("GET /api/report", p.report)
+	m.HandleFunc("POST /api/order", p.order)
+	m.HandleFunc("GET /healthz", p.health)
+	m.HandleFunc("/", p.request)
+	x.server = &http.Server{Handler: m, ConnState: func(c net.Conn, s http.ConnState) {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		switch s {
+		case http.StateNew:
+			x.conns[c] = true
+		case http.StateClosed, http.StateHijacked:
+			delete(x.conns, c)
+		}
+	}}
+	go func() { _ = x.server.Serve(l) }()
+	go p.beat()
+	x.record.add("replica %s: started at %s, software %s, born %d", x.id, x.address, software, x.born)
+	return nil
+}
+
+// crash ends the process at once: its connections are reset.
+func (x *replica) crash() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if !x.up {
+		return
+	}
+	x.up = false
+	close(x.stopped)
+	x.record.add("replica %s: crashed, %d running", x.id, x.running.Load())
+	for c := range x.conns {
+		if t, ok := c.(*net.TCPConn); ok {
+			_ = t.SetLinger(0)
+		}
+	}
+	go x.server.Close()
+}
+
+func (p *process) row() map[string]any {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := map[string]any{"service": p.service, "address": p.address, "zone": p.zone, "version": p.software, "slots": p.slots, "state": p.state, "cold-left-ms": 0, "seq": p.seq, "born": p.born}
+	if p.model != "" {
+		r["stage"], r["models"] = "unified", p.models()
+	}
+	return r
+}
+
+// models lists what an engine holds. The caller holds the lock.
+func (p *process) models() []any {
+	if !p.loaded {
+		return []any{}
+	}
+	return []any{map[string]any{"name": p.model, "version": 1, "adapters": []string{}}}
+}
+
+// beat writes the replica's entry until the process ends, and removes it after three intervals of silence.
+func (p *process) beat() {
+	t := time.NewTicker(heartbeatInterval)
+	defer t.Stop()
+	for {
+		p.store.put("servers", p.id, p.row())
+		select {
+		case <-t.C:
+			continue
+		case <-p.stopped:
+		}
+		break
+	}
+	time.Sleep(3 * heartbeatInterval)
+	p.mu.Lock()
+	gone := p.replica.born == p.born
+	p.mu.Unlock()
+	if gone {
+		p.record.add("replica %s: its entry has expired", p.id)
+		p.store.remove("servers", p.id)
+	}
+}
+
+func (p *process) misdirected(w http.ResponseWriter, r *http.Request) bool {
+	if x := r.Header.Get("X-Expect-Instance"); x == "" || x == p.id {
+		return false
+	}
+	w.Header().Set("X-Instance-Id", p.id)
+	w.WriteHeader(http.StatusMisdirectedRequest)
+	return true
+}
+
+func (p *process) health(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("X-Instance-Id", p.id)
+	w.WriteHeader(http.StatusOK)
+}
+
+func (p *process) report(w http.ResponseWriter, r *http.Request) {
+	if p.model == "" {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	p.mu.Lock()
+	m := map[string]any{"stage": "unified", "models": p.models(), "busy": false, "seq": p.seq, "waiting": 0, "running": p.running.Load(), "kv-used": 0, "kv-total": 150000, "handles": 0, "born": p.born, "coming": []string{}}
+	p.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(m)
+}
+
+func (p *process) order(w http.ResponseWriter, r *http.Request) {
+	var q struct {
+		Op       string `json:"op"`
+		Model    string `json:"model"`
+		Adapter  string `json:"adapter"`
+		Expected *int64 `json:"expected"`
+		Holder   string `json:"holder"`
+		Fence    int64  `json:"fence"`
+	}
+	if p.misdirected(w, r) {
+		return
+	}
+	if err := json.NewDecoder(r.Body).Decode(&q); err != nil || q.Holder == "" || q.Fence == 0 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	status := http.StatusAccepted
+	switch {
+	case q.Fence < p.fence:
+		status = http.StatusPreconditionFailed
+	case q.Expected != nil && *q.Expected != p.seq:
+		status = http.StatusConflict
+	case q.Op == "load" && q.Adapter == "" && p.loaded:
+		status = http.StatusOK
+	case q.Op != "load" || q.Adapter != "" || q.Model != p.model:
+		status = http.StatusBadRequest
+	default:
+		p.seq++
+		time.AfterFunc(diskLoadTime, func() {
+			p.mu.Lock()
+			p.loaded = true
+			p.mu.Unlock()
+			p.store.put("servers", p.id, p.row())
+		})
+	}
+	p.fence = max(p.fence, q.Fence)
+	p.mu.Unlock()
+	p.record.add("replica %s: order %s %s by %s with fence %d, expected %v: %d", p.id, q.Op, q.Model, q.Holder, q.Fence, q.Expected, status)
+	w.WriteHeader(status)
+}
+
+// diskLoadTime is the time to load a model whose weights are on the replica's disk.
+const diskLoadTime = 1700 * time.Millisecond
+
+func (p *process) request(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Request-Id")
+	w.Header().Set("X-Request-Id", id)
+	if p.misdirected(w, r) {
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	p.mu.Lock()
+	held := p.model == "" || p.loaded
+	p.mu.Unlock()
+	if !held {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if p.running.Add(1) > int64(p.slots) {
+		p.running.Add(-1)
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer p.running.Add(-1)
+	after := r.Header.Get("Last-Event-Id")
+	p.record.add("run %s at %s, software %s, born %d, after event %q, %d bytes", id, p.id, p.software, p.born, after, len(body))
+	if p.onRun != nil {
+		p.onRun(runEvent{at: p.record.now(), id: id, replica: p.id, software: p.software, born: p.born, after: after, header: r.Header})
+	}
+	if p.handle != nil {
+		p.handle(p, w, r)
+		return
+	}
+	p.runDefault(w, r)
+}
+
+// stamp is the signature of a response.
+func (p *process) stamp() string { return fmt.Sprintf("%s.%d", p.id, p.born) }
+
+// runDefault answers a stream with events, and anything else with a short body.
+func (p *process) runDefault(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("X-Server-Stamp", p.stamp())
+	if r.Header.Get("X-Events") == "" {
+		if !p.pause(r, 60*time.Millisecond) {
+			panic(http.ErrAbortHandler)
+		}
+		fmt.Fprintf(w, "done by %s", p.id)
+		return
+	}
+	p.stream(w, r, 300*time.Millisecond)
+}
+
+// stream writes the events of a stream from the one after Last-Event-Id on.
+func (p *process) stream(w http.ResponseWriter, r *http.Request, first time.Duration) {
+	n, _ := strconv.Atoi(r.Header.Get("X-Events"))
+	gap, _ := strconv.Atoi(r.Header.Get("X-Gap"))
+	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("X-Weight-Versions", "1")
+	if !p.pause(r, first) {
+		panic(http.ErrAbortHandler)
+	}
+	for i := from + 1; i <= n; i++ {
+		fmt.Fprintf(w, "id: %d\ndata: %s %s %d\n\n", i, p.software, p.id, p.born)
+		if http.NewResponseController(w).Flush() != nil || i < n && !p.pause(r, time.Duration(gap)*time.Millisecond) {
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+// pause waits, and reports whether the process and the request still live.
+func (p *process) pause(r *http.Request, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-p.stopped:
+	case <-r.Context().Done():
+	}
+	return false
+}
