--- a/review/_referee/client.go
+++ b/review/_referee/client.go
@@ -103,13 +103,18 @@
 	deadline time.Duration
 	// retries is the number of attempts after the first one.
 	retries int
-	// gone reports whether the client should drop its connection now, or is nil.
+	// prompt lists the parts of the prompt.
+	prompt string
+	// onEvent is called with each event, if it is not nil.
 	onEvent func(c net.Conn, e event)
 }
 
 // runStream plays one stream. The function choose returns the front for an attempt.
 func runStream(r *record, p streamPlan, choose func(attempt int, last *front) *front) *streamCall {
 	s := &streamCall{}
+	if p.prompt == "" {
+		p.prompt = fmt.Sprintf("5c1e07a2:200,%08x:100", rand.Uint32())
+	}
 	begun := time.Now()
 	first := ""
 	var last *front
@@ -126,7 +131,7 @@
 		x := attempt{at: r.now(), id: newID(), front: f.name}
 		header := map[string]string{
 			"X-Request-Id": x.id, "X-Deadline-Ms": strconv.FormatInt(left.Milliseconds(), 10), "Authorization": "Bearer " + p.key,
-			"X-Token-Usage": fmt.Sprintf("300,%d", 3*p.events), "X-Prompt-Prefix": "5c1e07a2:200,91bd3f06:100", "X-Events": strconv.Itoa(p.events), "X-Gap": strconv.Itoa(p.gapMs),
+			"X-Token-Usage": fmt.Sprintf("300,%d", 3*p.events), "X-Prompt-Prefix": p.prompt, "X-Events": strconv.Itoa(p.events), "X-Gap": strconv.Itoa(p.gapMs),
 		}
 		if p.model != "" {
 			header["X-Model"] = p.model
@@ -164,7 +169,7 @@
 	}
 	defer c.Close()
 	_ = c.SetDeadline(time.Now().Add(left))
-	a, err := sendOn(c, "POST", p.path, header, []byte(strings.Repeat("p", 400)))
+	a, err := sendOn(c, "POST", p.path, header, []byte(x.id+strings.Repeat("p", 400)))
 	if err != nil {
 		x.err = err
 		return 0
--- a/review/_referee/front.go
+++ b/review/_referee/front.go
@@ -1,7 +1,8 @@
 package main
 
 import (
-	"fmt"
+	"errors"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -16,66 +17,68 @@
 
 // front is a machine that runs the project's entry process with the command and the settings of the deploy file.
 type front struct {
-	name, zone                string
-	front, ready, directory   string
-	firstPort                 int
-	settings, log, directory0 string
-	root                      string
-	record                    *record
+	name, zone              string
+	front, ready, directory string
+	firstPort               int
+	settings, log           string
+	root                    string
+	record                  *record
 
 	mu      sync.Mutex
 	command *exec.Cmd
 	exited  chan struct{}
 }
 
-func freePort() (int, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return 0, err
-	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port, nil
-}
+// Ports are taken from below those that the kernel gives to outgoing connections.
+const (
+	firstPort = 12_000
+	lastPort  = 30_000
+)
 
-// freePair returns the first of two ports in a row that are free.
-func freePair() (int, error) {
-	for range 100 {
-		n, err := freePort()
-		if err != nil {
-			return 0, err
-		}
-		l, err := net.Listen("tcp", "127.0.0.1:"+strconv.Itoa(n+1))
-		if err != nil {
-			continue
+var takenPorts = map[int]bool{}
+
+// freePorts returns the first of n ports in a row on which nobody listens.
+func freePorts(n int) (int, error) {
+next:
+	for range 1000 {
+		first := firstPort + rand.IntN(lastPort-firstPort)
+		for p := first; p < first+n; p++ {
+			if takenPorts[p] || !isFree(p) {
+				continue next
+			}
 		}
-		_ = l.Close()
-		u, err := net.ListenPacket("udp", "127.0.0.1:"+strconv.Itoa(n))
-		if err != nil {
-			continue
+		for p := first; p < first+n; p++ {
+			takenPorts[p] = true
 		}
-		_ = u.Close()
-		return n, nil
+		return first, nil
+	}
+	return 0, errors.New("no free ports")
+}
+
+func isFree(port int) bool {
+	l, err := net.Listen("tcp", loopback(port))
+	if err != nil {
+		return false
+	}
+	_ = l.Close()
+	u, err := net.ListenPacket("udp", loopback(port))
+	if err != nil {
+		return false
 	}
-	return 0, fmt.Errorf("no two free ports in a row")
+	_ = u.Close()
+	return true
 }
 
+func loopback(port int) string { return "127.0.0.1:" + strconv.Itoa(port) }
+
 // newFront writes the settings of a front, from the template of the deploy file.
 func newFront(root, dir, name, zone, store string, r *record) (*front, error) {
 	f := &front{name: name, zone: zone, root: root, record: r, settings: filepath.Join(dir, name+".ini"), log: filepath.Join(dir, name+".log")}
-	var ports [3]int
-	for i := range ports {
-		n, err := freePort()
-		if err != nil {
-			return nil, err
-		}
-		ports[i] = n
-	}
-	var err error
-	if f.firstPort, err = freePair(); err != nil {
+	first, err := freePorts(5)
+	if err != nil {
 		return nil, err
 	}
-	of := func(n int) string { return "127.0.0.1:" + strconv.Itoa(n) }
-	f.front, f.ready, f.directory = of(ports[0]), of(ports[1]), of(ports[2])
+	f.front, f.ready, f.directory, f.firstPort = loopback(first), loopback(first+1), loopback(first+2), first+3
 	template, err := os.ReadFile(filepath.Join(root, "deploy", "settings.ini"))
 	if err != nil {
 		return nil, err
--- a/review/_referee/main.go
+++ b/review/_referee/main.go
@@ -13,9 +13,10 @@
 )
 
 var cases = map[string]func(w *world) (broken string, err error){
-	"drill":  drillCase,
-	"flap":   flapCase,
-	"rejoin": rejoinCase,
+	"drill":   drillCase,
+	"flap":    flapCase,
+	"rejoin":  rejoinCase,
+	"blocked": blockedCase,
 }
 
 func main() {
--- a/review/_referee/replica.go
+++ b/review/_referee/replica.go
@@ -33,10 +33,13 @@
 	up       bool
 	state    string
 	server   *http.Server
+	listener net.Listener
 	conns    map[net.Conn]bool
 	// stopped is closed as the process ends.
 	stopped chan struct{}
 	running atomic.Int64
+	// cut is set while the replica is partitioned from all fronts, which reset its connections.
+	cut atomic.Bool
 	// handle runs a request that the replica has accepted. Nil stands for runDefault.
 	handle func(p *process, w http.ResponseWriter, r *http.Request)
 	onRun  func(e runEvent)
@@ -62,12 +65,11 @@
 }
 
 func newReplica(s *platformStore, r *record, id, service, zone, model string, slots int) (*replica, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	port, err := freePorts(1)
 	if err != nil {
 		return nil, err
 	}
-	x := &replica{id: id, service: service, address: l.Addr().String(), zone: zone, model: model, slots: slots, store: s, record: r, state: "ready", conns: map[net.Conn]bool{}}
-	_ = l.Close()
+	x := &replica{id: id, service: service, address: loopback(port), zone: zone, model: model, slots: slots, store: s, record: r, state: "ready", conns: map[net.Conn]bool{}}
 	return x, nil
 }
 
@@ -105,7 +107,8 @@
 			delete(x.conns, c)
 		}
 	}}
-	go func() { _ = x.server.Serve(l) }()
+	x.listener = l
+	go func() { _ = x.server.Serve(cutListener{l, x}) }()
 	go p.beat()
 	x.record.add("replica %s: started at %s, software %s, born %d", x.id, x.address, software, x.born)
 	return nil
@@ -122,13 +125,77 @@
 	close(x.stopped)
 	x.record.add("replica %s: crashed, %d running", x.id, x.running.Load())
 	for c := range x.conns {
-		if t, ok := c.(*net.TCPConn); ok {
-			_ = t.SetLinger(0)
+		if k, ok := c.(*cutConn); ok {
+			_ = k.reset()
 		}
 	}
 	go x.server.Close()
 }
 
+// partition has the fronts lose the path to the replica, or find it again. While it is lost, new connections are
+// refused, and open ones are reset by the next data in either direction. The process goes on.
+func (x *replica) partition(on bool) error {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.cut.Store(on)
+	if on {
+		return x.listener.Close()
+	}
+	var err error
+	for range 50 {
+		if x.listener, err = net.Listen("tcp", x.address); err == nil {
+			l, s := x.listener, x.server
+			go func() { _ = s.Serve(cutListener{l, x}) }()
+			return nil
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return err
+}
+
+// cutListener accepts connections that the partition of a replica resets.
+type cutListener struct {
+	net.Listener
+	replica *replica
+}
+
+func (l cutListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &cutConn{Conn: c, replica: l.replica}, nil
+}
+
+type cutConn struct {
+	net.Conn
+	replica *replica
+}
+
+// reset closes the connection with a reset.
+func (c *cutConn) reset() error {
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	_ = c.Conn.Close()
+	return net.ErrClosed
+}
+
+func (c *cutConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if c.replica.cut.Load() {
+		return 0, c.reset()
+	}
+	return n, err
+}
+
+func (c *cutConn) Write(b []byte) (int, error) {
+	if c.replica.cut.Load() {
+		return 0, c.reset()
+	}
+	return c.Conn.Write(b)
+}
+
 func (p *process) row() map[string]any {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/review/_referee/world.go
+++ b/review/_referee/world.go
@@ -56,10 +56,20 @@
 	_ = os.RemoveAll(w.dir)
 }
 
+// addFronts starts n fronts in three zones, and waits until they are ready.
 func (w *world) addFronts(n int) error {
 	zones := []string{"bayern-a", "bayern-b", "bayern-c"}
+	var out []string
 	for i := range n {
-		f, err := newFront(w.root, w.dir, fmt.Sprintf("front-%d", i+1), zones[i%len(zones)], w.store.address, w.record)
+		out = append(out, zones[i%len(zones)])
+	}
+	return w.addFrontsIn(out)
+}
+
+// addFrontsIn starts a front in each of the zones, and waits until all are ready.
+func (w *world) addFrontsIn(zones []string) error {
+	for i, z := range zones {
+		f, err := newFront(w.root, w.dir, fmt.Sprintf("front-%d", i+1), z, w.store.address, w.record)
 		if err != nil {
 			return err
 		}
