--- a/review/_referee/main.go
+++ b/review/_referee/main.go
@@ -13,10 +13,12 @@
 )
 
 var cases = map[string]func(w *world) (broken string, err error){
-	"drill":   drillCase,
-	"flap":    flapCase,
-	"rejoin":  rejoinCase,
-	"blocked": blockedCase,
+	"drill":     drillCase,
+	"flap":      flapCase,
+	"shorter":   shorterCase,
+	"forgotten": forgottenCase,
+	"rejoin":    rejoinCase,
+	"blocked":   blockedCase,
 }
 
 func main() {
--- a/review/_referee/replica.go
+++ b/review/_referee/replica.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,8 +29,13 @@
 	software string
 	born     int64
 	loaded   bool
+	// adapters are those that an engine holds or loads, with the times at which they are ready.
+	adapters map[string]time.Time
 	seq      int64
 	fence    int64
+	// using counts the requests by adapter, onOrder is called with each order. It may be nil.
+	using    map[string]int
+	onOrder  func(o orderEvent)
 	up       bool
 	state    string
 	server   *http.Server
@@ -64,6 +70,21 @@
 	header   http.Header
 }
 
+// orderEvent is an order that a replica has got.
+type orderEvent struct {
+	at      time.Duration
+	replica string
+	holder  string
+	fence   int64
+	status  int
+}
+
+const (
+	adapterSlots = 6
+	// adapterLoadTime is the time in which an adapter comes from the weight store.
+	adapterLoadTime = 250 * time.Millisecond
+)
+
 func newReplica(s *platformStore, r *record, id, service, zone, model string, slots int) (*replica, error) {
 	port, err := freePorts(1)
 	if err != nil {
@@ -90,7 +111,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.software, x.born, x.loaded, x.seq, x.fence, x.up, x.state = software, time.Now().UnixMilli(), holdsModel, 0, 0, true, "ready"
-	x.stopped = make(chan struct{})
+	x.stopped, x.adapters, x.using = make(chan struct{}), map[string]time.Time{}, map[string]int{}
 	p := &process{replica: x, software: software, born: x.born, stopped: x.stopped}
 	m := http.NewServeMux()
 	m.HandleFunc("GET /api/report", p.report)
@@ -211,7 +232,24 @@
 	if !p.loaded {
 		return []any{}
 	}
-	return []any{map[string]any{"name": p.model, "version": 1, "adapters": []string{}}}
+	held := []string{}
+	for a, at := range p.adapters {
+		if time.Now().After(at) {
+			held = append(held, a+"@1")
+		}
+	}
+	return []any{map[string]any{"name": p.model, "version": 1, "adapters": held}}
+}
+
+// coming lists the adapters that an engine loads. The caller holds the lock.
+func (p *process) coming() []string {
+	out := []string{}
+	for a, at := range p.adapters {
+		if time.Now().Before(at) {
+			out = append(out, p.model+"/"+a+"@1")
+		}
+	}
+	return out
 }
 
 // beat writes the replica's entry until the process ends, and removes it after three intervals of silence.
@@ -257,7 +295,7 @@
 		return
 	}
 	p.mu.Lock()
-	m := map[string]any{"stage": "unified", "models": p.models(), "busy": false, "seq": p.seq, "waiting": 0, "running": p.running.Load(), "kv-used": 0, "kv-total": 150000, "handles": 0, "born": p.born, "coming": []string{}}
+	m := map[string]any{"stage": "unified", "models": p.models(), "busy": false, "seq": p.seq, "waiting": 0, "running": p.running.Load(), "kv-used": 0, "kv-total": 150000, "handles": 0, "born": p.born, "coming": p.coming()}
 	p.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(m)
@@ -288,11 +326,33 @@
 		status = http.StatusConflict
 	case q.Op == "load" && q.Adapter == "" && p.loaded:
 		status = http.StatusOK
-	case q.Op != "load" || q.Adapter != "" || q.Model != p.model:
+	case q.Model != p.model || q.Adapter != "" && !p.loaded:
+		status = http.StatusBadRequest
+	case q.Adapter != "" && q.Op == "load":
+		if _, held := p.adapters[q.Adapter]; held {
+			status = http.StatusOK
+			break
+		}
+		if len(p.adapters) >= adapterSlots {
+			p.record.say("replica %s: ordered to load more adapters than it has room for", p.id)
+		}
+		p.adapters[q.Adapter] = time.Now().Add(adapterLoadTime)
+		p.seq++
+	case q.Adapter != "" && q.Op == "unload":
+		if p.using[q.Adapter] > 0 {
+			// It waits for its runs, which the fronts avoid.
+			break
+		}
+		status = http.StatusOK
+		if _, held := p.adapters[q.Adapter]; held {
+			delete(p.adapters, q.Adapter)
+			p.seq++
+		}
+	case q.Op != "load":
 		status = http.StatusBadRequest
 	default:
 		p.seq++
-		time.AfterFunc(diskLoadTime, func() {
+		time.AfterFunc(modelLoadTime, func() {
 			p.mu.Lock()
 			p.loaded = true
 			p.mu.Unlock()
@@ -301,12 +361,15 @@
 	}
 	p.fence = max(p.fence, q.Fence)
 	p.mu.Unlock()
-	p.record.add("replica %s: order %s %s by %s with fence %d, expected %v: %d", p.id, q.Op, q.Model, q.Holder, q.Fence, q.Expected, status)
+	p.record.add("replica %s: order %s %s/%s by %s with fence %d: %d", p.id, q.Op, q.Model, q.Adapter, q.Holder, q.Fence, status)
+	if p.onOrder != nil {
+		p.onOrder(orderEvent{at: p.record.now(), replica: p.id, holder: q.Holder, fence: q.Fence, status: status})
+	}
 	w.WriteHeader(status)
 }
 
-// diskLoadTime is the time to load a model whose weights are on the replica's disk.
-const diskLoadTime = 1700 * time.Millisecond
+// modelLoadTime is the time to load a model from the weight store.
+const modelLoadTime = 4300 * time.Millisecond
 
 func (p *process) request(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Request-Id")
@@ -318,8 +381,21 @@
 	if err != nil {
 		return
 	}
+	_, adapter, _ := strings.Cut(r.Header.Get("X-Model"), "/")
 	p.mu.Lock()
 	held := p.model == "" || p.loaded
+	if adapter != "" && held {
+		at, ok := p.adapters[adapter]
+		held = ok && time.Now().After(at)
+		if held {
+			p.using[adapter]++
+			defer func() {
+				p.mu.Lock()
+				p.using[adapter]--
+				p.mu.Unlock()
+			}()
+		}
+	}
 	p.mu.Unlock()
 	if !held {
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -344,6 +420,16 @@
 	p.runDefault(w, r)
 }
 
+// drain has the replica say that it leaves.
+func (x *replica) drain() {
+	x.mu.Lock()
+	x.state = "draining"
+	p := &process{replica: x, software: x.software, born: x.born, stopped: x.stopped}
+	x.mu.Unlock()
+	x.store.put("servers", x.id, p.row())
+	x.record.add("replica %s: draining", x.id)
+}
+
 // stamp is the signature of a response.
 func (p *process) stamp() string { return fmt.Sprintf("%s.%d", p.id, p.born) }
 
--- a/review/_referee/world.go
+++ b/review/_referee/world.go
@@ -113,6 +113,16 @@
 	return out, nil
 }
 
+// addEmptyReplica adds and starts a replica that holds no model yet.
+func (w *world) addEmptyReplica(service, model, software string, slots int) (*replica, error) {
+	x, err := newReplica(w.store, w.record, fmt.Sprintf("i-%s-%d", service, len(w.replicas)+1), service, "bayern-a", model, slots)
+	if err != nil {
+		return nil, err
+	}
+	w.replicas = append(w.replicas, x)
+	return x, x.start(software, false)
+}
+
 const (
 	apiKey     = "i9n73hh2b9wu3fexd9dn"
 	chatPath   = "/chat/7f"
