--- a/review/_referee/client.go
+++ b/review/_referee/client.go
@@ -105,6 +105,9 @@
 	retries int
 	// prompt lists the parts of the prompt.
 	prompt string
+	// notice blocks until the client sees that its connection to a front has ended, if it is not nil. Last is when
+	// the last event came, or 0.
+	notice func(f *front, last time.Duration)
 	// onEvent is called with each event, if it is not nil.
 	onEvent func(c net.Conn, e event)
 }
@@ -151,6 +154,13 @@
 			s.complete = true
 			return s
 		}
+		if p.notice != nil && x.err != nil {
+			at := time.Duration(0)
+			if x.events > 0 {
+				at = s.events[len(s.events)-1].at
+			}
+			p.notice(f, at)
+		}
 		if x.status == 400 || x.status == 401 || x.status == 404 {
 			return s
 		}
--- a/review/_referee/main.go
+++ b/review/_referee/main.go
@@ -10,13 +10,18 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 )
 
+// longest is how long a case may take.
+const longest = 110 * time.Second
+
 var cases = map[string]func(w *world) (broken string, err error){
-	"drill":     drillCase,
-	"flap":      flapCase,
 	"shorter":   shorterCase,
 	"forgotten": forgottenCase,
+	"lostrow":   lostRowCase,
 	"rejoin":    rejoinCase,
 	"blocked":   blockedCase,
 }
@@ -36,6 +41,18 @@
 		return 2
 	}
 	defer w.close()
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		select {
+		case s := <-ended:
+			w.record.say("the case could not run: %v", s)
+		case <-time.After(longest):
+			w.record.say("the case could not run: it took longer than %v", longest)
+		}
+		w.close()
+		os.Exit(2)
+	}()
 	broken, err := f(w)
 	switch {
 	case err != nil:
--- a/review/_referee/world.go
+++ b/review/_referee/world.go
@@ -18,6 +18,7 @@
 	// trouble is false if the disruption is left out.
 	trouble bool
 	wait    sync.WaitGroup
+	closing sync.Once
 }
 
 func newWorld(folder string) (*world, error) {
@@ -43,7 +44,9 @@
 }
 
 // close ends all processes.
-func (w *world) close() {
+func (w *world) close() { w.closing.Do(w.closeOnce) }
+
+func (w *world) closeOnce() {
 	for _, f := range w.fronts {
 		if os.Getenv("KEEP") != "" {
 			if b, err := os.ReadFile(f.log); err == nil {
