streams: log what told the version of a stream that is taken up

The new line has the source (the instance itself, a record, other instances, the split, nothing), the assignment of the slot and its time, the time after which it counts, the age of the split and the era.

No change of behaviour: go test ./coordination/streams ./state/software passes.

--- a/coordination/streams/find.go
+++ b/coordination/streams/find.go
@@ -15,36 +15,64 @@
 // all instances, or asks these if the store cannot be reached or may have lost records: a stream without a known
 // record may have one.
 func (r *Registry) Find(c context.Context, s route.ServiceName, x software.Slot, id software.StreamID) (software.Version, bool) {
+	v, from := r.find(c, s, x, id)
+	r.mu.Lock()
+	a := r.split(s).Split[x]
+	f := []zap.Field{
+		zap.String("stream", id.String()), zap.String("software", string(v)), zap.Stringer("told-by", from), zap.String("assigned", string(a.Version)),
+		zap.Duration("assigned-at", a.Since), zap.Duration("store-time", r.storeTime()), zap.Duration("settles-after", r.settleTime(s)),
+		zap.Duration("split-age", r.splitAge()), zap.Int64("era", int64(r.era.current)),
+	}
+	r.mu.Unlock()
+	r.Log.Info("version of a stream looked up", f...)
+	return v, from != fromNothing
+}
+
+func (r *Registry) find(c context.Context, s route.ServiceName, x software.Slot, id software.StreamID) (software.Version, origin) {
 	r.mu.Lock()
 	own, ok := r.begun.Get(id)
 	r.mu.Unlock()
 	if ok {
-		return own.Version, true
+		return own.Version, fromItself
 	}
 	k := r.knowledge(s)
 	if k == software.Stale && r.confirmSplits(c) {
 		k = r.knowledge(s)
 	}
 	if k == software.Stale {
-		return "", false
+		return "", fromNothing
 	}
 	if k == software.Known && !r.recordsWhole() {
 		// The split may have been replaced by one that is lost, too.
 		k = software.NeedsRecords
 	}
 	if k == software.NeedsRecords {
-		v, found, complete := r.findRecord(c, id)
-		if !found && !(complete && r.recordsWhole()) {
-			v, found, complete = r.inquire(c, id)
-			complete = complete && r.answersSuffice()
-		}
-		if found || !complete {
-			return v, found
+		if v, from, decided := r.findBegun(c, id); decided {
+			return v, from
 		}
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.split(s).Begun(x, r.storeTime(), r.settleTime(s))
+	if v, ok := r.split(s).Begun(x, r.storeTime(), r.settleTime(s)); ok {
+		return v, fromSplit
+	}
+	return "", fromNothing
+}
+
+// findBegun looks for a stream in the records of all instances, or asks these if that does not suffice. The result
+// decided is false if the stream surely has no record.
+func (r *Registry) findBegun(c context.Context, id software.StreamID) (v software.Version, from origin, decided bool) {
+	from = fromRecord
+	v, found, complete := r.findRecord(c, id)
+	if !found && !(complete && r.recordsWhole()) {
+		from = fromInstances
+		v, found, complete = r.inquire(c, id)
+		complete = complete && r.answersSuffice()
+	}
+	if !found {
+		from = fromNothing
+	}
+	return v, from, found || !complete
 }
 
 // knowledge returns what the split of a service tells of its streams now.
--- a/coordination/streams/record.go
+++ b/coordination/streams/record.go
@@ -336,7 +336,7 @@
 			index[v] = i
 			m.Versions = append(m.Versions, string(v))
 		}
-		m.Streams[strconv.FormatUint(uint64(id), 16)] = i
+		m.Streams[id.String()] = i
 	}
 	return json.Marshal(m)
 }
--- a/state/software/streams.go
+++ b/state/software/streams.go
@@ -1,6 +1,7 @@
 package software
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -14,6 +15,9 @@
 	return StreamID(xxhash.Sum64String(workspace + "\x00" + request))
 }
 
+// String returns the ID in hexadecimal.
+func (i StreamID) String() string { return strconv.FormatUint(uint64(i), 16) }
+
 // Draw returns a number in [0, 1) that is the same for all requests of the stream.
 func (i StreamID) Draw() float64 { return float64(i>>11) / (1 << 53) }
 
