streams: count the lifetime of earlier configurations

Cause: how long a stream may be taken up came from the configuration in force, also for streams that began by an earlier one. Their slots counted as settled after 3 s + the new timeout, and their records were left out as the row was next written.

Ruled out: splits that differ between instances (same rows), wrong answers of other instances (none was asked).

Change: software.Lifetime holds the longest time under which a stream that may still be taken up can have begun; all readers ask there, and the row of the split has it for instances that start later. Rows of records are removed 2 minutes after that time, not after their last write alone.

--- a/coordination/streams/inquiry.go
+++ b/coordination/streams/inquiry.go
@@ -114,12 +114,3 @@
 	}
 	return a
 }
-
-// Retention is the longest time for which a stream may be taken up after its begin.
-func (r *Registry) Retention() time.Duration {
-	var d time.Duration
-	for _, x := range r.Lifetimes() {
-		d = max(d, x)
-	}
-	return d
-}
--- a/coordination/streams/outage_test.go
+++ b/coordination/streams/outage_test.go
@@ -189,7 +189,7 @@
 	for name, reachable := range map[string]bool{"stood still": true, "cut off": false} {
 		t.Run(name, func(t *testing.T) {
 			f, a, b := newFleetInRelease(t)
-			f.lifetime = 100 * time.Millisecond
+			f.configure(100 * time.Millisecond)
 			a.ObserveStoreTime(2 * time.Hour)
 			b.ObserveStoreTime(2 * time.Hour)
 			f.age = 5 * time.Second
--- a/coordination/streams/record.go
+++ b/coordination/streams/record.go
@@ -33,7 +33,8 @@
 	readPerPeer  = time.Millisecond
 	// failedReadInterval is the time between two reads while they fail.
 	failedReadInterval = 500 * time.Millisecond
-	// recordLifetime is the age of a row of records from which on any instance removes it.
+	// recordLifetime is the age of a row of records from which on any instance removes it, after the time for which
+	// its streams may be taken up.
 	recordLifetime = 2 * time.Minute
 	// slowWrite is the time after which a write of records is taken to fail. Most take some 10 ms.
 	slowWrite = 100 * time.Millisecond
@@ -78,19 +79,21 @@
 }
 
 // splitRow is the row of a split. The lists Slots and SinceMs have an element for each slot, the index of its
-// version and the time of the assignment. So has Previous, with the index of the version before or -1; earlier
-// builds leave it out.
+// version and the time of the assignment. So has Previous, with the index of the version before or -1. LifetimeMs is
+// how long after their begin streams may be taken up. Earlier builds leave both out.
 type splitRow struct {
 	Versions []string `json:"versions"`
 	Slots    []int    `json:"slots"`
 	SinceMs  []int64  `json:"since-ms"`
 	Previous []int    `json:"previous,omitempty"`
+
+	LifetimeMs int64 `json:"lifetime-ms,omitempty"`
 }
 
-var errSplitShape = eris.New("the split has the wrong number of slots or names a version that is not listed")
+var errSplitShape = eris.New("the split has the wrong number of slots, names a version that is not listed, or has a negative lifetime")
 
-func encodeSplit(s software.Split) ([]byte, error) {
-	m, indices := splitRow{}, map[software.Version]int{"": -1}
+func encodeSplit(s software.Split, lifetime time.Duration) ([]byte, error) {
+	m, indices := splitRow{LifetimeMs: lifetime.Milliseconds()}, map[software.Version]int{"": -1}
 	index := func(v software.Version) int {
 		i, ok := indices[v]
 		if !ok {
@@ -106,29 +109,28 @@
 	return json.Marshal(m)
 }
 
-func decodeSplit(value []byte) (software.Split, error) {
-	var s software.Split
+func decodeSplit(value []byte) (s software.Split, lifetime time.Duration, err error) {
 	var m splitRow
 	if err := json.Unmarshal(value, &m); err != nil {
-		return s, eris.Wrap(err, "decode split")
+		return s, 0, eris.Wrap(err, "decode split")
 	}
-	if len(m.Slots) != len(s) || len(m.SinceMs) != len(s) || m.Previous != nil && len(m.Previous) != len(s) {
-		return s, errSplitShape
+	if len(m.Slots) != len(s) || len(m.SinceMs) != len(s) || m.Previous != nil && len(m.Previous) != len(s) || m.LifetimeMs < 0 {
+		return s, 0, errSplitShape
 	}
 	for i, v := range m.Slots {
 		if v < 0 || v >= len(m.Versions) || m.Versions[v] == "" {
-			return s, errSplitShape
+			return s, 0, errSplitShape
 		}
 		s[i] = software.Assignment{Version: software.Version(m.Versions[v]), Since: time.Duration(m.SinceMs[i]) * time.Millisecond}
 		if m.Previous == nil || m.Previous[i] == -1 {
 			continue
 		}
 		if p := m.Previous[i]; p < 0 || p >= len(m.Versions) {
-			return s, errSplitShape
+			return s, 0, errSplitShape
 		}
 		s[i].Previous = software.Version(m.Versions[m.Previous[i]])
 	}
-	return s, nil
+	return s, time.Duration(min(m.LifetimeMs, software.MaxLifetime.Milliseconds())) * time.Millisecond, nil
 }
 
 // records are the records of all instances as they were last read.
@@ -188,7 +190,7 @@
 	}
 	r.records.versions = map[software.StreamID]software.Version{}
 	r.mu.Lock()
-	now := r.storeTime()
+	now, unused := r.storeTime(), recordLifetime+r.retention()
 	r.mu.Unlock()
 	var own mirror.Row
 	for _, row := range rows {
@@ -201,7 +203,7 @@
 			continue
 		}
 		r.confirm(row.Key, m)
-		if row.Key != r.key && now-time.Duration(m.WrittenMs)*time.Millisecond > recordLifetime {
+		if row.Key != r.key && now-time.Duration(m.WrittenMs)*time.Millisecond > unused {
 			go r.removeRecords(row.Key, row.Version)
 		}
 	}
@@ -311,13 +313,13 @@
 func (r *Registry) unplanned() map[software.StreamID]software.Version {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now, lifetimes := r.Timer.Boot(), r.Lifetimes()
+	now := r.Timer.Boot()
 	out := map[software.StreamID]software.Version{}
 	for _, x := range r.begun.Since(0) {
 		if len(out) >= maxRecords {
 			break
 		}
-		if now-x.BegunAt <= lifetimes[route.ServiceName(x.Service)] && r.needsRecord(x) {
+		if now-x.BegunAt <= r.lifetime(route.ServiceName(x.Service)) && r.needsRecord(x) {
 			out[x.ID] = x.Version
 		}
 	}
--- a/coordination/streams/restored.go
+++ b/coordination/streams/restored.go
@@ -54,7 +54,7 @@
 
 // mayLack reports whether streams that began before the era may still be taken up. The caller holds the lock.
 func (r *Registry) mayLack() bool {
-	return r.observeEra() > 1 && r.Timer.Boot()-r.era.since <= r.Retention()
+	return r.observeEra() > 1 && r.Timer.Boot()-r.era.since <= r.retention()
 }
 
 // confirm records that a row has all records of the run that wrote it, if it is of this era. One of a run that
--- a/coordination/streams/streams.go
+++ b/coordination/streams/streams.go
@@ -43,9 +43,6 @@
 type Services struct {
 	Timer *timer.Service
 	Log   *zap.Logger
-	// Lifetimes returns, for each service with streams that may be taken up, how long after their
-	// begin that may be.
-	Lifetimes func() map[route.ServiceName]time.Duration
 	// Serving returns the number of upstreams of a service that serve, by stated version.
 	Serving func(s route.ServiceName) map[software.Version]int
 	// Ready reports whether this instance knows the upstreams and the splits.
@@ -75,7 +72,8 @@
 	// several is set while upstreams of several versions serve.
 	several bool
 	// lacking is set while the store has not this split.
-	lacking bool
+	lacking  bool
+	lifetime software.Lifetime
 	// neededSince is when another split was first found to be needed, or 0, and triedAt when it was
 	// last written.
 	neededSince, triedAt time.Duration
@@ -149,11 +147,49 @@
 	return x
 }
 
-// settleTime is the time after which all streams that may be taken up began under an assignment.
-func (r *Registry) settleTime(s route.ServiceName) time.Duration {
-	return learnTime + r.Lifetimes()[s]
+// Configure sets, by the configuration in force, how long after their begin the streams of each service may be taken
+// up. Services without such streams are left out.
+func (r *Registry) Configure(lifetimes map[route.ServiceName]time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for s := range lifetimes {
+		r.split(s)
+	}
+	now := r.Timer.Boot()
+	for s, x := range r.splits {
+		before := x.lifetime.At(now)
+		x.lifetime.Configure(lifetimes[s], now)
+		if d := x.lifetime.At(now); d > lifetimes[s] || d != before {
+			r.Log.Info("streams of a service may be taken up", zap.String("service", string(s)), zap.Duration("configured", lifetimes[s]), zap.Duration("for", d))
+		}
+	}
+}
+
+// lifetime returns how long after their begin streams of a service may be taken up. The caller holds the lock.
+func (r *Registry) lifetime(s route.ServiceName) time.Duration {
+	return r.split(s).lifetime.At(r.Timer.Boot())
+}
+
+// retention is the longest time for which a stream may be taken up after its begin. The caller holds the lock.
+func (r *Registry) retention() time.Duration {
+	var d time.Duration
+	for s := range r.splits {
+		d = max(d, r.lifetime(s))
+	}
+	return d
 }
 
+// Retention is the longest time for which a stream may be taken up after its begin.
+func (r *Registry) Retention() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.retention()
+}
+
+// settleTime is the time after which all streams that may be taken up began under an assignment. The caller holds the
+// lock.
+func (r *Registry) settleTime(s route.ServiceName) time.Duration { return learnTime + r.lifetime(s) }
+
 // ApplyRows applies rows of the fleet table; those that are not splits are ignored. A split that is
 // older than the known one comes from a copy of the store, and is written again.
 func (r *Registry) ApplyRows(rows []mirror.Row) {
@@ -163,18 +199,19 @@
 			continue
 		}
 		var known software.Split
+		var lifetime time.Duration
 		if !row.Removed {
 			var err error
-			if known, err = decodeSplit(row.Value); err != nil {
+			if known, lifetime, err = decodeSplit(row.Value); err != nil {
 				r.Log.Error("cannot decode split; the previous one stays in force", zap.String("key", row.Key), zap.Error(err))
 				continue
 			}
 		}
-		r.apply(route.ServiceName(name), known, row)
+		r.apply(route.ServiceName(name), known, lifetime, row)
 	}
 }
 
-func (r *Registry) apply(s route.ServiceName, known software.Split, row mirror.Row) {
+func (r *Registry) apply(s route.ServiceName, known software.Split, lifetime time.Duration, row mirror.Row) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	x := r.split(s)
@@ -182,6 +219,7 @@
 		return
 	}
 	x.version, x.lacking = row.Version, false
+	x.lifetime.Store(lifetime, r.Timer.Boot())
 	if row.Removed {
 		x.version = 0
 	}
@@ -280,13 +318,14 @@
 // others do it if that instance does not.
 func (r *Registry) Step(c context.Context) {
 	responsible, now := r.Responsible(), r.Timer.Boot()
-	for s := range r.Lifetimes() {
+	for _, s := range r.lasting() {
 		serving := r.Serving(s)
 		r.mu.Lock()
 		x := r.split(s)
 		x.several = len(serving) > 1
 		next, differs := x.Next(serving, r.storeTime())
-		if !differs && !x.lacking || !r.storeTimeKnown {
+		lifetime, outdated := x.lifetime.ToStore(now)
+		if !differs && !x.lacking && !(outdated && next != software.Split{}) || !r.storeTimeKnown {
 			x.neededSince = 0
 			r.mu.Unlock()
 			continue
@@ -305,13 +344,25 @@
 		}
 		r.mu.Unlock()
 		if due {
-			r.writeSplit(c, s, next, version, serving)
+			r.writeSplit(c, s, next, lifetime, version, serving)
+		}
+	}
+}
+
+// lasting returns the services with streams that may be taken up.
+func (r *Registry) lasting() (out []route.ServiceName) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for s := range r.splits {
+		if r.lifetime(s) > 0 {
+			out = append(out, s)
 		}
 	}
+	return out
 }
 
-func (r *Registry) writeSplit(c context.Context, s route.ServiceName, next software.Split, version mirror.Version, serving map[software.Version]int) {
-	value, err := encodeSplit(next)
+func (r *Registry) writeSplit(c context.Context, s route.ServiceName, next software.Split, lifetime time.Duration, version mirror.Version, serving map[software.Version]int) {
+	value, err := encodeSplit(next, lifetime)
 	if err != nil {
 		r.Log.Error("cannot encode split", zap.Error(err))
 		return
@@ -324,7 +375,7 @@
 		r.Log.Warn("could not write split", zap.String("service", string(s)), zap.Error(err))
 		return
 	}
-	r.Log.Info("split written", zap.String("service", string(s)), zap.Any("serving", serving), zap.Bool("committed", o.Committed), zap.Int64("row-version", int64(o.Version)))
+	r.Log.Info("split written", zap.String("service", string(s)), zap.Any("serving", serving), zap.Duration("lifetime", lifetime), zap.Bool("committed", o.Committed), zap.Int64("row-version", int64(o.Version)))
 	row := mirror.Row{Key: key.Key, Value: value, Version: o.Version}
 	if !o.Committed {
 		row = o.Current[key]
--- a/coordination/streams/streams_test.go
+++ b/coordination/streams/streams_test.go
@@ -52,18 +52,22 @@
 	failing atomic.Pointer[[]string]
 	hanging atomic.Bool
 	hang    chan struct{}
+	// ahead is the time by which the clock is ahead of the system's. The store has run for an hour at startedAt.
+	ahead     atomic.Int64
+	startedAt time.Duration
 }
 
 func newFleet() *fleet {
-	return &fleet{store: memory.New(), clock: timer.New(), lifetime: time.Minute, registries: map[string]*streams.Registry{}, unreachable: map[string]bool{}, left: map[string]bool{}, uptime: time.Hour, hang: make(chan struct{})}
+	f := &fleet{store: memory.New(), clock: timer.New(), lifetime: time.Minute, registries: map[string]*streams.Registry{}, unreachable: map[string]bool{}, left: map[string]bool{}, uptime: time.Hour, hang: make(chan struct{})}
+	boot := f.clock.Boot
+	f.clock.Boot = func() time.Duration { return boot() + time.Duration(f.ahead.Load()) }
+	f.startedAt = f.clock.Boot()
+	return f
 }
 
 func (f *fleet) add(t *testing.T, name string) *streams.Registry {
 	r := streams.New(name, streams.Services{
 		Timer: f.clock, Log: zap.NewNop(), Store: f.store.Client(), FleetTable: "fleet", RecordTable: "streams",
-		Lifetimes: func() map[route.ServiceName]time.Duration {
-			return map[route.ServiceName]time.Duration{service: f.lifetime}
-		},
 		Serving: func(route.ServiceName) map[software.Version]int { return f.serving },
 		Ready:   func() bool { return false }, Responsible: func() bool { return true }, PeerCount: func() int { return max(1, f.peers) },
 		StoreReachable: func() bool { return true }, SplitAge: func() time.Duration { return f.age },
@@ -73,12 +77,39 @@
 	f.mu.Lock()
 	f.registries[name] = r
 	f.mu.Unlock()
-	r.ObserveStoreTime(time.Hour)
+	r.ObserveStoreTime(time.Hour + f.clock.Boot() - f.startedAt)
+	r.Configure(f.lifetimes())
 	f.read(t, r)
 	go r.Run(t.Context())
 	return r
 }
 
+func (f *fleet) lifetimes() map[route.ServiceName]time.Duration {
+	if f.lifetime == 0 {
+		return nil
+	}
+	return map[route.ServiceName]time.Duration{service: f.lifetime}
+}
+
+// configure has all instances learn of a configuration by which streams may be taken up for d. With 0, there are no
+// such streams.
+func (f *fleet) configure(d time.Duration) {
+	f.lifetime = d
+	for _, r := range f.all() {
+		r.Configure(f.lifetimes())
+	}
+}
+
+// all returns the instances by name.
+func (f *fleet) all() map[string]*streams.Registry {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return maps.Clone(f.registries)
+}
+
+// advance moves the clocks of all instances and of the store on.
+func (f *fleet) advance(d time.Duration) { f.ahead.Add(int64(d)) }
+
 // instances returns the names of the instances that have not left.
 func (f *fleet) instances() []string {
 	f.mu.Lock()
@@ -185,7 +216,7 @@
 	if v, ok := find(t, b, x); !ok || v == x.Version {
 		t.Fatalf("planned at %q, %v", v, ok)
 	}
-	f.lifetime = time.Hour / 2
+	f.configure(time.Hour / 2)
 	a.Begin(x)
 	time.Sleep(100 * time.Millisecond)
 	eventuallyFound(t, b, x)
--- a/entry/rows.go
+++ b/entry/rows.go
@@ -52,6 +52,8 @@
 		return
 	}
 	t := route.New(k)
+	// A stream that begins by the new configuration may last as long as that says.
+	e.streams.Configure(t.StreamTimeouts())
 	e.table.Store(t)
 	e.installed = value
 	e.quota.setPlans(t, e.timer.Boot())
--- a/entry/streams.go
+++ b/entry/streams.go
@@ -23,7 +23,7 @@
 // newStreams creates the registry of streams.
 func (e *Entry) newStreams(log *zap.Logger) {
 	e.streams = streams.New(fmt.Sprint(e.Name, ".", e.run), streams.Services{
-		Timer: e.timer, Log: log, Lifetimes: e.streamLifetimes, Store: e.Store, FleetTable: ownership.FleetTable, RecordTable: streamsTable,
+		Timer: e.timer, Log: log, Store: e.Store, FleetTable: ownership.FleetTable, RecordTable: streamsTable,
 		Serving: func(s route.ServiceName) map[software.Version]int { return e.pool.Serving(s, e.timer.Boot()) },
 		Ask:     e.askStreams,
 		Ready:   e.Ready, Responsible: func() bool { return e.coordinator(streams.SplitPrefix) == e.Name },
@@ -115,13 +115,3 @@
 	e.log.Info("streams asked for", zap.Int("streams", len(ids)), zap.Int("found", len(all.Versions)), zap.Bool("complete", all.Complete))
 	return all
 }
-
-// streamLifetimes returns, for each service that resumable streams are routed to, the longest timeout of
-// their routes.
-func (e *Entry) streamLifetimes() map[route.ServiceName]time.Duration {
-	t := e.table.Load()
-	if t == nil {
-		return nil
-	}
-	return t.StreamTimeouts()
-}
--- a/protocol/dispatch/dispatch_test.go
+++ b/protocol/dispatch/dispatch_test.go
@@ -105,7 +105,7 @@
 		Budget: retry.New(), Admission: b.admission,
 		Suspects: b.suspects,
 		Streams: streams.New("n", streams.Services{
-			Timer: b.timer, Log: zap.NewNop(), Lifetimes: func() map[route.ServiceName]time.Duration { return nil }, StoreReachable: func() bool { return true }, SplitAge: func() time.Duration { return 0 },
+			Timer: b.timer, Log: zap.NewNop(), StoreReachable: func() bool { return true }, SplitAge: func() time.Duration { return 0 },
 		}),
 		TakeTrial: func(context.Context, suspicion.Part) bool { return b.trial }, EndTrial: func(suspicion.Part) {},
 		IsReplaced: func(context.Context, pool.Upstream) bool { return false },
