streams: the test's fleet asks its instances without its lock

TestUnreadableRecordsAreNotTakenForNone hung now and then (once in make check, 1 of 40 runs alone): fleet.ask held the lock of the fleet and waited for that of a Registry, which held its own and asked for the instances.

--- a/coordination/streams/streams_test.go
+++ b/coordination/streams/streams_test.go
@@ -117,15 +117,17 @@
 	return slices.DeleteFunc(slices.Sorted(maps.Keys(f.registries)), func(n string) bool { return f.left[n] })
 }
 
-// ask asks all instances but the named one for streams.
+// ask asks all instances but the named one for streams. It holds no lock meanwhile: a Registry asks for the instances
+// with its own lock held.
 func (f *fleet) ask(name string, ids []software.StreamID) streams.Answer {
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	all := streams.Answer{Versions: map[software.StreamID]software.Version{}, Complete: true}
-	for other, r := range f.registries {
+	f.mu.Lock()
+	left, unreachable := maps.Clone(f.left), maps.Clone(f.unreachable)
+	f.mu.Unlock()
+	for other, r := range f.all() {
 		switch {
-		case other == name || f.left[other]:
-		case f.unreachable[other]:
+		case other == name || left[other]:
+		case unreachable[other]:
 			all.Complete = false
 		default:
 			a := r.Answer(ids, f.uptime)
