streams: an instance keeps the records of its earlier runs

Streams of the first run go on at another software version.

Cause: the row of a run that had started before the drill counted as all that its instance has. The records of the run before were lost, and nobody wrote them again.

Evidence: with DRILL=0 the case holds, so the records were written; instances that are asked count their earlier runs by another rule and were not at fault.

Change: a run reads the rows of its instance's earlier runs as it starts, and writes their streams with its own. Its row claims to have all only by the era of that reading. This refuses nothing that was answered before; two drills with a start between them are covered, too.

The fleet of the tests stops the goroutines of instances that have left.

--- /dev/null
+++ b/coordination/streams/adoption.go
@@ -0,0 +1,84 @@
+package streams
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"go.uber.org/zap"
+
+	"gentiangauge.example/gentiangauge/state/mirror"
+	"gentiangauge.example/gentiangauge/state/software"
+)
+
+// adoption is what this run of an instance has of the records of its earlier runs. Nobody else writes these again
+// after the store has come back from a copy that lacks them.
+type adoption struct {
+	versions map[software.StreamID]software.Version
+	// at is when they were read, and since the era from which on this run has all of them. Both are 0 before.
+	at    time.Duration
+	since mirror.Era
+	// partial is set if some may have been lost before they were read.
+	partial bool
+}
+
+// adoptRecords reads the records of the earlier runs of this instance, until that succeeds or c ends.
+func (r *Registry) adoptRecords(c context.Context) {
+	for c.Err() == nil {
+		rows, _, err := r.readRecords(c)
+		if err == nil {
+			r.adopt(rows)
+			return
+		}
+		r.Log.Warn("could not read the records of earlier runs", zap.Error(err))
+		_ = r.Timer.Wait(c, failedReadInterval)
+	}
+}
+
+// adopt takes over the records of earlier runs. In an era in which records may be lost, they are all only if an
+// earlier run has said so in that era.
+func (r *Registry) adopt(rows []mirror.Row) {
+	k := newRecords()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.observeEra()
+	x := adoption{versions: map[software.StreamID]software.Version{}, at: r.Timer.Boot(), since: e, partial: e > 1}
+	for _, row := range rows {
+		if row.Key == r.key || instanceName(row.Key) != instanceName(r.key) {
+			continue
+		}
+		m, err := k.add(row.Value)
+		if err != nil {
+			r.Log.Error("cannot decode records of an earlier run", zap.String("key", row.Key), zap.Error(err))
+			x.partial = true
+			continue
+		}
+		if m.confirms(e) {
+			x.since, x.partial = mirror.Era(m.StartedIn), false
+		}
+	}
+	maps.Copy(x.versions, k.versions)
+	r.adopted = x
+	r.Log.Info("records of earlier runs read", zap.Int("streams", len(x.versions)), zap.Int64("era", int64(e)), zap.Bool("partial", x.partial))
+	notify(r.changed)
+}
+
+// hasAllSince returns the era from which on this run has all records of its instance that may still be needed: the
+// present one if some may have been lost before. The caller holds the lock.
+func (r *Registry) hasAllSince() mirror.Era {
+	x := &r.adopted
+	if (x.at == 0 || x.partial) && r.Timer.Boot()-r.startedAt <= r.retention() {
+		return r.era.current
+	}
+	return x.since
+}
+
+// version returns the version at which a stream of this instance began, and false if this run does not know it. The
+// caller holds the lock.
+func (r *Registry) version(id software.StreamID) (software.Version, bool) {
+	if x, ok := r.begun.Get(id); ok {
+		return x.Version, true
+	}
+	v, ok := r.adopted.versions[id]
+	return v, ok
+}
--- a/coordination/streams/find.go
+++ b/coordination/streams/find.go
@@ -30,10 +30,10 @@
 
 func (r *Registry) find(c context.Context, s route.ServiceName, x software.Slot, id software.StreamID) (software.Version, origin) {
 	r.mu.Lock()
-	own, ok := r.begun.Get(id)
+	own, ok := r.version(id)
 	r.mu.Unlock()
 	if ok {
-		return own.Version, fromItself
+		return own, fromItself
 	}
 	k := r.knowledge(s)
 	if k == software.Stale && r.confirmSplits(c) {
--- a/coordination/streams/inquiry.go
+++ b/coordination/streams/inquiry.go
@@ -108,8 +108,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, id := range ids[:min(len(ids), maxInquired)] {
-		if x, ok := r.begun.Get(id); ok {
-			a.Versions[id] = x.Version
+		if v, ok := r.version(id); ok {
+			a.Versions[id] = v
 		}
 	}
 	return a
--- a/coordination/streams/record.go
+++ b/coordination/streams/record.go
@@ -67,9 +67,10 @@
 	return !w.failing && (w.since == 0 || now-w.since < slowWrite)
 }
 
-// recordRow is the row of the streams that one instance has begun. Each stream is its ID in
-// hexadecimal and the index of its version. Era is the era of the store in which the row was written, and
-// StartedIn the one in which the instance started; earlier builds leave both out.
+// recordRow is the row of the streams that one instance has begun. Each stream is its ID in hexadecimal and the
+// index of its version. Era is the era of the store in which the row was written, and StartedIn the one from which on
+// its writer has all records of the instance, also those of earlier runs, or Era if it may lack some. Earlier builds
+// leave both out, or have in StartedIn the era in which their run started.
 type recordRow struct {
 	WrittenMs int64             `json:"written-ms"`
 	Era       int64             `json:"era,omitempty"`
@@ -78,6 +79,11 @@
 	Streams   map[string]uint16 `json:"streams"`
 }
 
+// confirms reports whether the row has all records of its instance in an era.
+func (m recordRow) confirms(e mirror.Era) bool {
+	return mirror.Era(m.Era) == e && mirror.Era(m.StartedIn) < e
+}
+
 // splitRow is the row of a split. The lists Slots and SinceMs have an element for each slot, the index of its
 // version and the time of the assignment. So has Previous, with the index of the version before or -1. LifetimeMs is
 // how long after their begin streams may be taken up. Earlier builds leave both out.
@@ -296,7 +302,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	lack := r.mayLack()
-	return r.era.current, lack && r.era.startedIn < r.era.current
+	return r.era.current, lack && r.hasAllSince() < r.era.current
 }
 
 // hasNew reports whether a list has a stream that is not among others as it is.
@@ -309,7 +315,7 @@
 	return false
 }
 
-// unplanned returns the newest streams that need a record.
+// unplanned returns the newest streams that need a record, those of earlier runs last.
 func (r *Registry) unplanned() map[software.StreamID]software.Version {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -323,12 +329,20 @@
 			out[x.ID] = x.Version
 		}
 	}
+	if now-r.adopted.at <= r.retention() {
+		for id, v := range r.adopted.versions {
+			if len(out) >= maxRecords {
+				break
+			}
+			out[id] = v
+		}
+	}
 	return out
 }
 
 func (r *Registry) encodeRecords(list map[software.StreamID]software.Version, e mirror.Era) ([]byte, error) {
 	r.mu.Lock()
-	m := recordRow{WrittenMs: r.storeTime().Milliseconds(), Era: int64(e), StartedIn: int64(r.era.startedIn), Streams: make(map[string]uint16, len(list))}
+	m := recordRow{WrittenMs: r.storeTime().Milliseconds(), Era: int64(e), StartedIn: int64(r.hasAllSince()), Streams: make(map[string]uint16, len(list))}
 	r.mu.Unlock()
 	index := map[software.Version]uint16{}
 	for id, v := range list {
--- a/coordination/streams/record_test.go
+++ b/coordination/streams/record_test.go
@@ -48,6 +48,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.left[name] = true
+	f.stops[name]()
 }
 
 // awaitRecord waits until the store has records of at least n streams of an instance.
--- a/coordination/streams/restored.go
+++ b/coordination/streams/restored.go
@@ -57,12 +57,11 @@
 	return r.observeEra() > 1 && r.Timer.Boot()-r.era.since <= r.retention()
 }
 
-// confirm records that a row has all records of the run that wrote it, if it is of this era. One of a run that
-// began in this era says nothing of the run before.
+// confirm records that a row has all records of the instance that wrote it, if it says so in this era.
 func (r *Registry) confirm(key string, m recordRow) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if e := r.observeEra(); mirror.Era(m.Era) == e && mirror.Era(m.StartedIn) < e {
+	if m.confirms(r.observeEra()) {
 		r.era.confirmed[instanceName(key)] = true
 	}
 }
--- a/coordination/streams/streams.go
+++ b/coordination/streams/streams.go
@@ -83,8 +83,10 @@
 // use.
 type Registry struct {
 	Services
-	key string
-	mu  sync.Mutex
+	// key is that of the row of records, the name of the instance and of its run. The run started at startedAt.
+	key       string
+	startedAt time.Duration
+	mu        sync.Mutex
 	// splits has an entry for each service that was asked for or has a row.
 	splits map[route.ServiceName]*split
 	begun  *software.Streams
@@ -92,6 +94,7 @@
 	storeAhead     time.Duration
 	storeTimeKnown bool
 	era            eraState
+	adopted        adoption
 	records        records
 	// own is the row of the records of this instance.
 	own     *ownrow.Row
@@ -110,7 +113,7 @@
 func New(key string, s Services) *Registry {
 	s.Log = s.Log.Named("streams")
 	return &Registry{
-		Services: s, key: key, splits: map[route.ServiceName]*split{}, begun: software.NewStreams(),
+		Services: s, key: key, startedAt: s.Timer.Boot(), splits: map[route.ServiceName]*split{}, begun: software.NewStreams(),
 		changed: make(chan struct{}, 1), urgent: make(chan struct{}, 1), records: newRecords(),
 		own: ownrow.New(s.Store, store.Key{Table: s.RecordTable, Key: key}),
 	}
@@ -306,6 +309,7 @@
 
 // Run writes records and splits until c ends.
 func (r *Registry) Run(c context.Context) {
+	go r.adoptRecords(c)
 	go r.writeRecords(c)
 	r.Timer.Subscribe(c, stepInterval, func(time.Time) {
 		if r.Ready() {
--- a/coordination/streams/streams_test.go
+++ b/coordination/streams/streams_test.go
@@ -5,7 +5,7 @@
 	"errors"
 	"fmt"
 	"maps"
-	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -41,8 +41,9 @@
 	mu          sync.Mutex
 	registries  map[string]*streams.Registry
 	unreachable map[string]bool
-	// left are the instances that are known no more.
-	left map[string]bool
+	// left are the instances that are known no more. The functions of stops end them.
+	left  map[string]bool
+	stops map[string]func()
 	// peers is the number of other instances, if it is not 1. transactions counts those of the store.
 	peers        int
 	transactions atomic.Int64
@@ -58,7 +59,7 @@
 }
 
 func newFleet() *fleet {
-	f := &fleet{store: memory.New(), clock: timer.New(), lifetime: time.Minute, registries: map[string]*streams.Registry{}, unreachable: map[string]bool{}, left: map[string]bool{}, uptime: time.Hour, hang: make(chan struct{})}
+	f := &fleet{store: memory.New(), clock: timer.New(), lifetime: time.Minute, registries: map[string]*streams.Registry{}, unreachable: map[string]bool{}, left: map[string]bool{}, stops: map[string]func(){}, uptime: time.Hour, hang: make(chan struct{})}
 	boot := f.clock.Boot
 	f.clock.Boot = func() time.Duration { return boot() + time.Duration(f.ahead.Load()) }
 	f.startedAt = f.clock.Boot()
@@ -80,7 +81,11 @@
 	r.ObserveStoreTime(time.Hour + f.clock.Boot() - f.startedAt)
 	r.Configure(f.lifetimes())
 	f.read(t, r)
-	go r.Run(t.Context())
+	c, cancel := context.WithCancel(t.Context())
+	f.mu.Lock()
+	f.stops[name] = cancel
+	f.mu.Unlock()
+	go r.Run(c)
 	return r
 }
 
@@ -110,11 +115,17 @@
 // advance moves the clocks of all instances and of the store on.
 func (f *fleet) advance(d time.Duration) { f.ahead.Add(int64(d)) }
 
-// instances returns the names of the instances that have not left.
-func (f *fleet) instances() []string {
+// instances returns the names of the instances that have not left, without those of their runs.
+func (f *fleet) instances() (out []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return slices.DeleteFunc(slices.Sorted(maps.Keys(f.registries)), func(n string) bool { return f.left[n] })
+	for n := range f.registries {
+		if !f.left[n] {
+			name, _, _ := strings.Cut(n, ".")
+			out = append(out, name)
+		}
+	}
+	return out
 }
 
 // ask asks all instances but the named one for streams. It holds no lock meanwhile: a Registry asks for the instances
