streams: each service drops its own streams, and rows without room say so

Cause: each stream that began had the instance drop all streams that were older than the time of its own service; the next write of the row left their records out, and without a record a stream counts as begun as planned.

Change: streams are held and dropped by service.

--- a/coordination/streams/adoption.go
+++ b/coordination/streams/adoption.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"time"
 
 	"go.uber.org/zap"
@@ -35,14 +34,15 @@
 	}
 }
 
-// adopt takes over the records of earlier runs. In an era in which records may be lost, they are all only if an
-// earlier run has said so in that era.
+// adopt takes over the records of earlier runs. They are not all if a row had not room for them or, in an era in which
+// records may be lost, unless an earlier run has said in that era that it had all.
 func (r *Registry) adopt(rows []mirror.Row) {
 	k := newRecords()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.observeEra()
-	x := adoption{versions: map[software.StreamID]software.Version{}, at: r.Timer.Boot(), since: e, partial: e > 1}
+	x := adoption{versions: k.versions, at: r.Timer.Boot(), since: e}
+	confirmed := e <= 1
 	for _, row := range rows {
 		if row.Key == r.key || instanceName(row.Key) != instanceName(r.key) {
 			continue
@@ -53,11 +53,12 @@
 			x.partial = true
 			continue
 		}
+		x.partial = x.partial || m.Partial
 		if m.confirms(e) {
-			x.since, x.partial = mirror.Era(m.StartedIn), false
+			x.since, confirmed = mirror.Era(m.StartedIn), true
 		}
 	}
-	maps.Copy(x.versions, k.versions)
+	x.partial = x.partial || !confirmed
 	r.adopted = x
 	r.Log.Info("records of earlier runs read", zap.Int("streams", len(x.versions)), zap.Int64("era", int64(e)), zap.Bool("partial", x.partial))
 	notify(r.changed)
--- a/coordination/streams/find.go
+++ b/coordination/streams/find.go
@@ -42,7 +42,7 @@
 	if k == software.Stale {
 		return "", fromNothing
 	}
-	if k == software.Known && !r.recordsWhole() {
+	if k == software.Known && !r.splitsWhole() {
 		// The split may have been replaced by one that is lost, too.
 		k = software.NeedsRecords
 	}
--- a/coordination/streams/inquiry.go
+++ b/coordination/streams/inquiry.go
@@ -101,12 +101,13 @@
 	}
 }
 
-// Answer answers the question of another instance for streams. Complete says that no earlier run of this
-// instance can have begun them: it has run for longer than a stream may be taken up.
+// Answer answers the question of another instance for streams. Complete says that this instance has begun no others: it
+// holds all that can be taken up, and has run for longer than that, so that no earlier run can have begun them.
 func (r *Registry) Answer(ids []software.StreamID, uptime time.Duration) Answer {
-	a := Answer{Versions: map[software.StreamID]software.Version{}, Complete: uptime > r.Retention()}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	d := r.retention()
+	a := Answer{Versions: map[software.StreamID]software.Version{}, Complete: uptime > d && !r.begun.LacksSince(r.Timer.Boot()-d)}
 	for _, id := range ids[:min(len(ids), maxInquired)] {
 		if v, ok := r.version(id); ok {
 			a.Versions[id] = v
--- a/coordination/streams/record.go
+++ b/coordination/streams/record.go
@@ -70,18 +70,20 @@
 // recordRow is the row of the streams that one instance has begun. Each stream is its ID in hexadecimal and the
 // index of its version. Era is the era of the store in which the row was written, and StartedIn the one from which on
 // its writer has all records of the instance, also those of earlier runs, or Era if it may lack some. Earlier builds
-// leave both out, or have in StartedIn the era in which their run started.
+// leave both out, or have in StartedIn the era in which their run started. Partial is set if the row has not room for
+// all records.
 type recordRow struct {
 	WrittenMs int64             `json:"written-ms"`
 	Era       int64             `json:"era,omitempty"`
 	StartedIn int64             `json:"started-in,omitempty"`
+	Partial   bool              `json:"partial,omitempty"`
 	Versions  []string          `json:"versions"`
 	Streams   map[string]uint16 `json:"streams"`
 }
 
 // confirms reports whether the row has all records of its instance in an era.
 func (m recordRow) confirms(e mirror.Era) bool {
-	return mirror.Era(m.Era) == e && mirror.Era(m.StartedIn) < e
+	return mirror.Era(m.Era) == e && mirror.Era(m.StartedIn) < e && !m.Partial
 }
 
 // splitRow is the row of a split. The lists Slots and SinceMs have an element for each slot, the index of its
@@ -196,9 +198,10 @@
 	}
 	r.records.versions = map[software.StreamID]software.Version{}
 	r.mu.Lock()
-	now, unused := r.storeTime(), recordLifetime+r.retention()
+	now, retention := r.storeTime(), r.retention()
 	r.mu.Unlock()
 	var own mirror.Row
+	var partial []string
 	for _, row := range rows {
 		if row.Key == r.key {
 			own = row
@@ -209,10 +212,17 @@
 			continue
 		}
 		r.confirm(row.Key, m)
-		if row.Key != r.key && now-time.Duration(m.WrittenMs)*time.Millisecond > unused {
+		age := now - time.Duration(m.WrittenMs)*time.Millisecond
+		if m.Partial && age <= retention {
+			partial = append(partial, instanceName(row.Key))
+		}
+		if row.Key != r.key && age > recordLifetime+retention {
 			go r.removeRecords(row.Key, row.Version)
 		}
 	}
+	r.mu.Lock()
+	r.partial = partial
+	r.mu.Unlock()
 	if r.own.Observe(own, asOf); r.own.Differs() {
 		notify(r.changed)
 	}
@@ -245,14 +255,14 @@
 // writeRecords writes the streams whose version does not follow from the split of their service, until
 // c ends. In each era in which records may be lost it writes the row again, also without any such stream.
 func (r *Registry) writeRecords(c context.Context) {
-	var wanted map[software.StreamID]software.Version
+	var wanted recordList
 	var wantedIn mirror.Era
 	for c.Err() == nil {
 		select {
 		case <-r.changed:
 		case <-r.urgent:
 		case <-r.Store.Eras.Changed(wantedIn):
-			if _, confirm := r.confirmsEra(); confirm && len(r.unplanned()) == 0 {
+			if _, confirm := r.confirmsEra(); confirm && len(r.unplanned().versions) == 0 {
 				// All instances learn of an era at the same moment.
 				_ = r.Timer.Wait(c, rand.N(r.recordInterval()))
 			}
@@ -261,7 +271,7 @@
 		}
 		list := r.unplanned()
 		e, confirm := r.confirmsEra()
-		if hasNew(list, wanted) || wantedIn != e {
+		if list.differs(wanted) || wantedIn != e {
 			value, err := r.encodeRecords(list, e)
 			if err != nil {
 				r.Log.Error("cannot encode records of streams", zap.Error(err))
@@ -271,12 +281,12 @@
 			wanted, wantedIn = list, e
 		}
 		// Others remove the row of an instance that has had no such streams for long.
-		if len(list) == 0 && !confirm || !r.own.Differs() {
+		if len(list.versions) == 0 && !confirm || !r.own.Differs() {
 			r.writes.end(nil)
 			continue
 		}
 		if err := r.writeRow(c); err != nil {
-			r.Log.Warn("could not write records of streams", zap.Int("streams", len(wanted)), zap.Error(err))
+			r.Log.Warn("could not write records of streams", zap.Int("streams", len(wanted.versions)), zap.Error(err))
 			notify(r.changed)
 		}
 		_ = r.Timer.Wait(c, urgentInterval)
@@ -305,47 +315,55 @@
 	return r.era.current, lack && r.hasAllSince() < r.era.current
 }
 
-// hasNew reports whether a list has a stream that is not among others as it is.
-func hasNew(list, others map[software.StreamID]software.Version) bool {
-	for id, v := range list {
-		if others[id] != v {
+// recordList are the streams of an instance that need a record. It is partial if some have no room or are not held.
+type recordList struct {
+	versions map[software.StreamID]software.Version
+	partial  bool
+}
+
+// differs reports whether the list has a stream that is not among others as it is, or is partial unlike them.
+func (l recordList) differs(others recordList) bool {
+	for id, v := range l.versions {
+		if others.versions[id] != v {
 			return true
 		}
 	}
-	return false
+	return l.partial != others.partial
+}
+
+func (l *recordList) add(id software.StreamID, v software.Version) {
+	if len(l.versions) >= maxRecords {
+		l.partial = true
+		return
+	}
+	l.versions[id] = v
 }
 
 // unplanned returns the newest streams that need a record, those of earlier runs last.
-func (r *Registry) unplanned() map[software.StreamID]software.Version {
+func (r *Registry) unplanned() recordList {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := r.Timer.Boot()
-	out := map[software.StreamID]software.Version{}
+	now, retention := r.Timer.Boot(), r.retention()
+	out := recordList{versions: map[software.StreamID]software.Version{}, partial: r.begun.LacksSince(now - retention)}
 	for _, x := range r.begun.Since(0) {
-		if len(out) >= maxRecords {
-			break
-		}
 		if now-x.BegunAt <= r.lifetime(route.ServiceName(x.Service)) && r.needsRecord(x) {
-			out[x.ID] = x.Version
+			out.add(x.ID, x.Version)
 		}
 	}
-	if now-r.adopted.at <= r.retention() {
+	if now-r.adopted.at <= retention {
 		for id, v := range r.adopted.versions {
-			if len(out) >= maxRecords {
-				break
-			}
-			out[id] = v
+			out.add(id, v)
 		}
 	}
 	return out
 }
 
-func (r *Registry) encodeRecords(list map[software.StreamID]software.Version, e mirror.Era) ([]byte, error) {
+func (r *Registry) encodeRecords(list recordList, e mirror.Era) ([]byte, error) {
 	r.mu.Lock()
-	m := recordRow{WrittenMs: r.storeTime().Milliseconds(), Era: int64(e), StartedIn: int64(r.hasAllSince()), Streams: make(map[string]uint16, len(list))}
+	m := recordRow{WrittenMs: r.storeTime().Milliseconds(), Era: int64(e), StartedIn: int64(r.hasAllSince()), Partial: list.partial, Streams: make(map[string]uint16, len(list.versions))}
 	r.mu.Unlock()
 	index := map[software.Version]uint16{}
-	for id, v := range list {
+	for id, v := range list.versions {
 		i, ok := index[v]
 		if !ok {
 			i = uint16(len(m.Versions))
--- a/coordination/streams/record_test.go
+++ b/coordination/streams/record_test.go
@@ -53,6 +53,12 @@
 
 // awaitRecord waits until the store has records of at least n streams of an instance.
 func (f *fleet) awaitRecord(t *testing.T, key string, n int) {
+	t.Helper()
+	f.awaitRow(t, key, func(m recordRow) bool { return len(m.Streams) >= n })
+}
+
+// awaitRow waits until the row of records of an instance fulfils a condition.
+func (f *fleet) awaitRow(t *testing.T, key string, fulfils func(m recordRow) bool) {
 	t.Helper()
 	for end := time.Now().Add(timeout); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
 		rows, _, err := f.store.Client().Read(t.Context(), "streams")
@@ -60,12 +66,12 @@
 			t.Fatal(err)
 		}
 		for _, r := range rows {
-			if r.Key == key && len(decodeRecord(t, r.Value).Streams) >= n {
+			if r.Key == key && fulfils(decodeRecord(t, r.Value)) {
 				return
 			}
 		}
 	}
-	t.Fatalf("the store has not got the records of %d streams of %s", n, key)
+	t.Fatalf("the store has not got the expected records of %s", key)
 }
 
 // The store gives no answer to a write of records and performs it after a newer one. The newer records must
--- a/coordination/streams/restored.go
+++ b/coordination/streams/restored.go
@@ -66,15 +66,25 @@
 	}
 }
 
+// splitsWhole reports whether splits cannot have been lost together with records of streams that may be taken up.
+func (r *Registry) splitsWhole() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.unconfirmed()) == 0
+}
+
 // recordsWhole reports whether the rows that were read have the records of all streams that may be taken up.
 func (r *Registry) recordsWhole() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return !r.mayLack() || len(r.unconfirmed()) == 0
+	return len(r.unconfirmed()) == 0 && len(r.partial) == 0
 }
 
-// unconfirmed returns the instances whose records may be lost. The caller holds the lock.
+// unconfirmed returns the instances whose records may have been lost with the era before. The caller holds the lock.
 func (r *Registry) unconfirmed() []string {
+	if !r.mayLack() {
+		return nil
+	}
 	if r.era.startedIn == r.era.current {
 		// The instances of the era before are not known at the start.
 		r.expectInstances()
@@ -89,18 +99,18 @@
 }
 
 // answersSuffice reports whether the answers of all present instances tell of each stream whose record may be
-// lost: none has left that has not written its records again.
+// missing: this one holds its own, and none has left that has not written all its records.
 func (r *Registry) answersSuffice() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.mayLack() {
-		return true
+	if r.begun.LacksSince(r.Timer.Boot() - r.retention()) {
+		return false
 	}
 	present := map[string]bool{}
 	for _, n := range r.Instances() {
 		present[n] = true
 	}
-	for _, n := range r.unconfirmed() {
+	for _, n := range append(r.unconfirmed(), r.partial...) {
 		if !present[n] {
 			return false
 		}
--- a/coordination/streams/streams.go
+++ b/coordination/streams/streams.go
@@ -96,6 +96,8 @@
 	era            eraState
 	adopted        adoption
 	records        records
+	// partial are the instances of which a row that was read may lack streams that can still be taken up.
+	partial []string
 	// own is the row of the records of this instance.
 	own     *ownrow.Row
 	writes  recordWrites
@@ -264,15 +266,14 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	x.BegunAt, x.Stale = r.Timer.Boot(), r.splitAge() > software.MaxAge
-	s := route.ServiceName(x.Service)
 	old, known := r.begun.Get(x.ID)
-	r.begun.Add(x, x.BegunAt-r.settleTime(s))
+	r.begun.Add(x)
 	if known && old.Version == x.Version {
 		return
 	}
 	switch {
 	case !r.needsRecord(x):
-	case x.Stale, r.split(s).Planned(x.Slot, r.storeTime()) != x.Version:
+	case x.Stale, r.split(route.ServiceName(x.Service)).Planned(x.Slot, r.storeTime()) != x.Version:
 		notify(r.urgent)
 	default:
 		notify(r.changed)
@@ -288,7 +289,7 @@
 	for _, x := range r.begun.Since(now - maxRowLag) {
 		if x.Upstream == upstream && x.Version == v {
 			x.Version = software.Unstated(upstream, 0)
-			r.begun.Add(x, 0)
+			r.begun.Add(x)
 		}
 	}
 	notify(r.urgent)
@@ -322,6 +323,7 @@
 // others do it if that instance does not.
 func (r *Registry) Step(c context.Context) {
 	responsible, now := r.Responsible(), r.Timer.Boot()
+	r.dropStreams(now)
 	for _, s := range r.lasting() {
 		serving := r.Serving(s)
 		r.mu.Lock()
@@ -353,6 +355,15 @@
 	}
 }
 
+// dropStreams drops the streams that can be taken up no more.
+func (r *Registry) dropStreams(now time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for s := range r.splits {
+		r.begun.Drop(string(s), now-r.settleTime(s))
+	}
+}
+
 // lasting returns the services with streams that may be taken up.
 func (r *Registry) lasting() (out []route.ServiceName) {
 	r.mu.Lock()
--- a/coordination/streams/streams_test.go
+++ b/coordination/streams/streams_test.go
@@ -25,6 +25,9 @@
 const (
 	service = route.ServiceName("models")
 	timeout = 10 * time.Second
+	// shortService is a service whose streams may be taken up for shortLifetime.
+	shortService  = route.ServiceName("notes")
+	shortLifetime = 4 * time.Second
 )
 
 var v1, v2 = software.Stated("v1"), software.Stated("v2")
@@ -93,7 +96,7 @@
 	if f.lifetime == 0 {
 		return nil
 	}
-	return map[route.ServiceName]time.Duration{service: f.lifetime}
+	return map[route.ServiceName]time.Duration{service: f.lifetime, shortService: shortLifetime}
 }
 
 // configure has all instances learn of a configuration by which streams may be taken up for d. With 0, there are no
--- a/state/software/split_test.go
+++ b/state/software/split_test.go
@@ -119,7 +119,7 @@
 func TestHeldStreamsAreBounded(t *testing.T) {
 	s := software.NewStreams()
 	for i := range 40_000 {
-		s.Add(software.Stream{ID: software.NewStreamID("guild", fmt.Sprint(i)), BegunAt: time.Duration(i)}, 0)
+		s.Add(software.Stream{ID: software.NewStreamID("guild", fmt.Sprint(i)), BegunAt: time.Duration(i)})
 	}
 	if n := len(s.Since(0)); n > 20_000 {
 		t.Errorf("%d streams are held", n)
@@ -130,8 +130,33 @@
 	if _, ok := s.Get(software.NewStreamID("shop", "39999")); ok {
 		t.Error("a stream of another workspace is found")
 	}
-	s.Add(software.Stream{ID: 1, BegunAt: time.Hour}, time.Hour)
+	s.Add(software.Stream{ID: 1, BegunAt: time.Hour})
+	s.Drop("", time.Hour)
 	if n := len(s.Since(0)); n != 1 {
 		t.Errorf("%d streams are held after the lifetime of all others", n)
 	}
 }
+
+// A service has streams that may be taken up for longer than those of another, which begin all the time. None was held
+// for longer than those of the service whose stream began last (review/11).
+func TestStreamsOfOneServiceAreHeldWhateverOthersBegin(t *testing.T) {
+	s := software.NewStreams()
+	s.Add(software.Stream{ID: 1, Service: "long", BegunAt: time.Second})
+	for i := range 40_000 {
+		now := time.Second + time.Duration(i)*time.Millisecond
+		s.Add(software.Stream{ID: software.StreamID(i + 2), Service: "short", BegunAt: now})
+		if i < 20_000 {
+			s.Drop("short", now-4*time.Second)
+		}
+	}
+	if _, ok := s.Get(1); !ok {
+		t.Error("the stream of the service with few streams is not held")
+	}
+	if !s.LacksSince(24*time.Second) || s.LacksSince(40*time.Second) {
+		t.Error("streams have been dropped for want of room, and that is not told, or is told for too long")
+	}
+	s.Drop("long", 2*time.Second)
+	if _, ok := s.Get(1); ok {
+		t.Error("a stream is held after its lifetime")
+	}
+}
