entry: an adapter version was announced before it was read

Cause: the 5 s for an older version began at the moment at which the instance read the announcement of the newer one, and a start reads all of them then.

Ruled out: an engine that is wrongly believed to hold the newer version (the requests name the older one).

Change: the time begins at the last instant at which the announcements were known and did not have this one, and has passed if they were never known.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -129,7 +129,7 @@
 	orders    *orders.Orders
 	mesh      *mesh.Mesh
 	quota     *quota
-	versions  versions
+	versions  *pool.Versions
 	members   members
 	// versionTime is Config.VersionTime after reloads.
 	versionTime atomic.Int64
@@ -187,7 +187,7 @@
 		trials:     suspicion.NewTrials(),
 		ownerCalls: newOwnerCalls(c), retries: retry.New(), usageReports: usage.New(),
 		memberRow: ownrow.New(p.Store, store.Key{Table: ownership.FleetTable, Key: memberPrefix + k.Name}),
-		quota:     newQuota(k.PlanWindow), versions: versions{known: map[pool.Adapter]versionState{}}, members: members{known: map[string]member{}},
+		quota:     newQuota(k.PlanWindow), versions: pool.NewVersions(), members: members{known: map[string]member{}},
 	}
 	recorder := timeline.New(k.Name, timelineEvents, t.Now)
 	e.mesh = mesh.New(k.PeerAddress, mesh.Clock{Tick: recorder.Tick, Observe: recorder.Observe})
--- a/entry/freshness.go
+++ b/entry/freshness.go
@@ -43,7 +43,8 @@
 		if theirs > own && !s.EligibleFor(now-e.startedAt) {
 			continue
 		}
-		x.ObservePeer(own, theirs, b.Name, s.ReadsStore && s.StoreReachable, now)
+		// A copy that has not been read yet is not confirmed by another that has not either.
+		x.ObservePeer(own, theirs, b.Name, s.ReadsStore && s.StoreReachable && e.loaded(t), now)
 		if theirs <= own {
 			continue
 		}
--- a/entry/rows.go
+++ b/entry/rows.go
@@ -2,7 +2,6 @@
 
 import (
 	"strings"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -12,20 +11,13 @@
 	"gentiangauge.example/gentiangauge/state/route"
 )
 
-// versionState has the newest two versions of an adapter and the time at which the newest was
-// announced.
-type versionState struct {
-	newest, previous route.Version
-	announcedAt      time.Duration
-}
-
-type versions struct {
-	mu    sync.Mutex
-	known map[pool.Adapter]versionState
-}
-
 // onConfigurationRows applies new rows of the operators.
 func (e *Entry) onConfigurationRows(rows []mirror.Row, _ time.Duration) {
+	// The rows of the first reading were written at any time before.
+	after := time.Duration(0)
+	if e.table.Load() != nil {
+		after = e.freshness[e.Tables.Configuration].ConfirmedAt()
+	}
 	for _, r := range rows {
 		switch {
 		case r.Removed:
@@ -33,7 +25,7 @@
 		case r.Key == e.Tables.ConfigurationKey:
 			e.installConfiguration(r.Value, "the store", r.Version)
 		case strings.HasPrefix(r.Key, e.Tables.VersionPrefix):
-			e.addVersion(r)
+			e.addVersion(r, after)
 		}
 	}
 }
@@ -61,41 +53,22 @@
 		zap.Int("services", len(k.Services)), zap.Int("workspaces", len(k.Workspaces)))
 }
 
-func (e *Entry) addVersion(r mirror.Row) {
+// addVersion applies the row of an adapter version that was announced after an instant, or at any time if that is 0.
+func (e *Entry) addVersion(r mirror.Row, after time.Duration) {
 	x, err := e.DecodeAdapterVersion(r.Value)
 	if err != nil {
 		e.log.Error("cannot decode adapter version", zap.String("row", r.Key), zap.Error(err))
 		return
 	}
-	e.versions.mu.Lock()
-	defer e.versions.mu.Unlock()
-	s := e.versions.known[x.Adapter]
-	if x.Version <= s.newest {
-		return
+	if e.versions.Announce(x.Adapter, x.Version, after) {
+		e.log.Info("adapter version announced", zap.String("adapter", string(x.Adapter.Name)), zap.Int64("version", int64(x.Version)), zap.Int64("row-version", int64(r.Version)),
+			zap.Bool("first-reading", after == 0), zap.Duration("confirmed-before", e.timer.Boot()-after))
 	}
-	e.versions.known[x.Adapter] = versionState{newest: x.Version, previous: s.newest, announcedAt: e.timer.Boot()}
-	e.log.Info("adapter version announced", zap.String("adapter", string(x.Adapter.Name)), zap.Int64("version", int64(x.Version)))
 }
 
-// versionMargin is how long before the end of Config.VersionTime the responses of an older version
-// must begin: an instance learns of a version some 0.1 s after it was accepted, and a request that
-// is cancelled may still begin while the engine hears of that.
-const versionMargin = 500 * time.Millisecond
-
-// adapterVersions returns the newest version of an adapter, the oldest one that requests may still
-// be sent to, and the instant by which a response of an older one than the newest must begin. The
-// versions are 0 if none was announced. Requests are sent to the previous version in the first half
-// of Config.VersionTime.
+// adapterVersions returns what Versions.Usable does, within Config.VersionTime.
 func (e *Entry) adapterVersions(a pool.Adapter, now time.Duration) (newest, oldest route.Version, oldUntil time.Duration) {
-	e.versions.mu.Lock()
-	defer e.versions.mu.Unlock()
-	s := e.versions.known[a]
-	limit := time.Duration(e.versionTime.Load())
-	oldUntil = s.announcedAt + limit - versionMargin
-	if now-s.announcedAt < limit/2 {
-		return s.newest, s.previous, oldUntil
-	}
-	return s.newest, s.newest, oldUntil
+	return e.versions.Usable(a, time.Duration(e.versionTime.Load()), now)
 }
 
 // onUpstreamRows applies rows of the list of upstreams that were read from the store. If they
--- a/state/freshness/freshness.go
+++ b/state/freshness/freshness.go
@@ -77,6 +77,14 @@
 	return behind
 }
 
+// ConfirmedAt returns when the copy was last confirmed to be the newest, or 0 if it never was. Rows that are new to it
+// were written later.
+func (t *Table) ConfirmedAt() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.confirmedAt
+}
+
 // State returns the freshness of the copy.
 func (t *Table) State(now time.Duration) State {
 	t.mu.Lock()
