streams: read the clock once for each decision

The lifetime of a service is asked for each held stream as the row of records is written; each time the clock was read with a system call, three of them a stream (one before the lifetimes were kept). The instant is passed now, as in other decisions.

A timeout of 1,500.5 ms would have had the row of the split written each second, as the row has whole milliseconds: it is rounded up (TestStoredLifetimeIsThatOfTheRow, which fails without the rounding).

--- a/coordination/streams/adoption.go
+++ b/coordination/streams/adoption.go
@@ -68,7 +68,8 @@
 // present one if some may have been lost before. The caller holds the lock.
 func (r *Registry) hasAllSince() mirror.Era {
 	x := &r.adopted
-	if (x.at == 0 || x.partial) && r.Timer.Boot()-r.startedAt <= r.retention() {
+	now := r.Timer.Boot()
+	if (x.at == 0 || x.partial) && now-r.startedAt <= r.retention(now) {
 		return r.era.current
 	}
 	return x.since
--- a/coordination/streams/find.go
+++ b/coordination/streams/find.go
@@ -17,10 +17,10 @@
 func (r *Registry) Find(c context.Context, s route.ServiceName, x software.Slot, id software.StreamID) (software.Version, bool) {
 	v, from := r.find(c, s, x, id)
 	r.mu.Lock()
-	a := r.split(s).Split[x]
+	now, a := r.Timer.Boot(), r.split(s).Split[x]
 	f := []zap.Field{
 		zap.String("stream", id.String()), zap.String("software", string(v)), zap.Stringer("told-by", from), zap.String("assigned", string(a.Version)),
-		zap.Duration("assigned-at", a.Since), zap.Duration("store-time", r.storeTime()), zap.Duration("settles-after", r.settleTime(s)),
+		zap.Duration("assigned-at", a.Since), zap.Duration("store-time", r.storeTime(now)), zap.Duration("settles-after", r.settleTime(s, now)),
 		zap.Duration("split-age", r.splitAge()), zap.Int64("era", int64(r.era.current)),
 	}
 	r.mu.Unlock()
@@ -53,7 +53,8 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if v, ok := r.split(s).Begun(x, r.storeTime(), r.settleTime(s)); ok {
+	now := r.Timer.Boot()
+	if v, ok := r.split(s).Begun(x, r.storeTime(now), r.settleTime(s, now)); ok {
 		return v, fromSplit
 	}
 	return "", fromNothing
@@ -79,7 +80,8 @@
 func (r *Registry) knowledge(s route.ServiceName) software.Knowledge {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.split(s).Knowledge(r.splitAge(), r.storeTime(), r.settleTime(s))
+	now := r.Timer.Boot()
+	return r.split(s).Knowledge(r.splitAge(), r.storeTime(now), r.settleTime(s, now))
 }
 
 // splitAge returns how long ago the splits were last known to be the newest, by what the instances tell each
--- a/coordination/streams/inquiry.go
+++ b/coordination/streams/inquiry.go
@@ -106,8 +106,9 @@
 func (r *Registry) Answer(ids []software.StreamID, uptime time.Duration) Answer {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	d := r.retention()
-	a := Answer{Versions: map[software.StreamID]software.Version{}, Complete: uptime > d && !r.begun.LacksSince(r.Timer.Boot()-d)}
+	now := r.Timer.Boot()
+	d := r.retention(now)
+	a := Answer{Versions: map[software.StreamID]software.Version{}, Complete: uptime > d && !r.begun.LacksSince(now-d)}
 	for _, id := range ids[:min(len(ids), maxInquired)] {
 		if v, ok := r.version(id); ok {
 			a.Versions[id] = v
--- a/coordination/streams/record.go
+++ b/coordination/streams/record.go
@@ -198,7 +198,8 @@
 	}
 	r.records.versions = map[software.StreamID]software.Version{}
 	r.mu.Lock()
-	now, retention := r.storeTime(), r.retention()
+	now := r.Timer.Boot()
+	storeTime, retention := r.storeTime(now), r.retention(now)
 	r.mu.Unlock()
 	var own mirror.Row
 	var partial []string
@@ -212,7 +213,7 @@
 			continue
 		}
 		r.confirm(row.Key, m)
-		age := now - time.Duration(m.WrittenMs)*time.Millisecond
+		age := storeTime - time.Duration(m.WrittenMs)*time.Millisecond
 		if m.Partial && age <= retention {
 			partial = append(partial, instanceName(row.Key))
 		}
@@ -343,10 +344,11 @@
 func (r *Registry) unplanned() recordList {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now, retention := r.Timer.Boot(), r.retention()
+	now := r.Timer.Boot()
+	retention := r.retention(now)
 	out := recordList{versions: map[software.StreamID]software.Version{}, partial: r.begun.LacksSince(now - retention)}
 	for _, x := range r.begun.Since(0) {
-		if now-x.BegunAt <= r.lifetime(route.ServiceName(x.Service)) && r.needsRecord(x) {
+		if now-x.BegunAt <= r.lifetime(route.ServiceName(x.Service), now) && r.needsRecord(x, now) {
 			out.add(x.ID, x.Version)
 		}
 	}
@@ -360,7 +362,7 @@
 
 func (r *Registry) encodeRecords(list recordList, e mirror.Era) ([]byte, error) {
 	r.mu.Lock()
-	m := recordRow{WrittenMs: r.storeTime().Milliseconds(), Era: int64(e), StartedIn: int64(r.hasAllSince()), Partial: list.partial, Streams: make(map[string]uint16, len(list.versions))}
+	m := recordRow{WrittenMs: r.storeTime(r.Timer.Boot()).Milliseconds(), Era: int64(e), StartedIn: int64(r.hasAllSince()), Partial: list.partial, Streams: make(map[string]uint16, len(list.versions))}
 	r.mu.Unlock()
 	index := map[software.Version]uint16{}
 	for id, v := range list.versions {
--- a/coordination/streams/restored.go
+++ b/coordination/streams/restored.go
@@ -54,7 +54,8 @@
 
 // mayLack reports whether streams that began before the era may still be taken up. The caller holds the lock.
 func (r *Registry) mayLack() bool {
-	return r.observeEra() > 1 && r.Timer.Boot()-r.era.since <= r.retention()
+	now := r.Timer.Boot()
+	return r.observeEra() > 1 && now-r.era.since <= r.retention(now)
 }
 
 // confirm records that a row has all records of the instance that wrote it, if it says so in this era.
@@ -103,7 +104,8 @@
 func (r *Registry) answersSuffice() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.begun.LacksSince(r.Timer.Boot() - r.retention()) {
+	now := r.Timer.Boot()
+	if r.begun.LacksSince(now - r.retention(now)) {
 		return false
 	}
 	present := map[string]bool{}
--- a/coordination/streams/streams.go
+++ b/coordination/streams/streams.go
@@ -135,12 +135,12 @@
 	r.storeAhead, r.storeTimeKnown = t-r.Timer.Boot(), true
 }
 
-// storeTime returns the time of the store, or 0 if it is not known.
-func (r *Registry) storeTime() time.Duration {
+// storeTime returns the time of the store at an instant, or 0 if it is not known.
+func (r *Registry) storeTime(now time.Duration) time.Duration {
 	if !r.storeTimeKnown {
 		return 0
 	}
-	return r.Timer.Boot() + r.storeAhead
+	return now + r.storeAhead
 }
 
 func (r *Registry) split(s route.ServiceName) *split {
@@ -171,15 +171,15 @@
 }
 
 // lifetime returns how long after their begin streams of a service may be taken up. The caller holds the lock.
-func (r *Registry) lifetime(s route.ServiceName) time.Duration {
-	return r.split(s).lifetime.At(r.Timer.Boot())
+func (r *Registry) lifetime(s route.ServiceName, now time.Duration) time.Duration {
+	return r.split(s).lifetime.At(now)
 }
 
 // retention is the longest time for which a stream may be taken up after its begin. The caller holds the lock.
-func (r *Registry) retention() time.Duration {
+func (r *Registry) retention(now time.Duration) time.Duration {
 	var d time.Duration
 	for s := range r.splits {
-		d = max(d, r.lifetime(s))
+		d = max(d, r.lifetime(s, now))
 	}
 	return d
 }
@@ -188,12 +188,14 @@
 func (r *Registry) Retention() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.retention()
+	return r.retention(r.Timer.Boot())
 }
 
 // settleTime is the time after which all streams that may be taken up began under an assignment. The caller holds the
 // lock.
-func (r *Registry) settleTime(s route.ServiceName) time.Duration { return learnTime + r.lifetime(s) }
+func (r *Registry) settleTime(s route.ServiceName, now time.Duration) time.Duration {
+	return learnTime + r.lifetime(s, now)
+}
 
 // ApplyRows applies rows of the fleet table; those that are not splits are ignored. A split that is
 // older than the known one comes from a copy of the store, and is written again.
@@ -245,7 +247,7 @@
 func (r *Registry) Planned(s route.ServiceName, x software.Slot) (software.Version, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	v := r.split(s).Planned(x, r.storeTime())
+	v := r.split(s).Planned(x, r.storeTime(r.Timer.Boot()))
 	return v, v != ""
 }
 
@@ -254,26 +256,28 @@
 //
 // Load pattern: the store falls silent while engines of the planned version have no room.
 func (r *Registry) MayDeviate(s route.ServiceName) bool {
+	now := r.Timer.Boot()
 	r.mu.Lock()
 	x := r.split(s)
-	several := x.several && x.Mixed(r.storeTime()) && r.splitAge() <= software.MaxAge
+	several := x.several && x.Mixed(r.storeTime(now)) && r.splitAge() <= software.MaxAge
 	r.mu.Unlock()
-	return several && r.StoreReachable() && r.writes.work(r.Timer.Boot())
+	return several && r.StoreReachable() && r.writes.work(now)
 }
 
 // Begin records that a stream begins, or is about to begin.
 func (r *Registry) Begin(x software.Stream) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	x.BegunAt, x.Stale = r.Timer.Boot(), r.splitAge() > software.MaxAge
+	now := r.Timer.Boot()
+	x.BegunAt, x.Stale = now, r.splitAge() > software.MaxAge
 	old, known := r.begun.Get(x.ID)
 	r.begun.Add(x)
 	if known && old.Version == x.Version {
 		return
 	}
 	switch {
-	case !r.needsRecord(x):
-	case x.Stale, r.split(route.ServiceName(x.Service)).Planned(x.Slot, r.storeTime()) != x.Version:
+	case !r.needsRecord(x, now):
+	case x.Stale, r.split(route.ServiceName(x.Service)).Planned(x.Slot, r.storeTime(now)) != x.Version:
 		notify(r.urgent)
 	default:
 		notify(r.changed)
@@ -298,14 +302,14 @@
 // needsRecord reports whether the version of a stream does not follow from the split of its service.
 // Without a split, streams at processes whose version is not known are not recorded: they cannot go on
 // anywhere else.
-func (r *Registry) needsRecord(x software.Stream) bool {
+func (r *Registry) needsRecord(x software.Stream, now time.Duration) bool {
 	s := r.split(route.ServiceName(x.Service))
 	if s.Split == (software.Split{}) && !x.Version.IsStated() {
 		return false
 	}
-	now, settle := r.storeTime(), r.settleTime(route.ServiceName(x.Service))
-	v, ok := s.Begun(x.Slot, now, settle)
-	return !ok || v != x.Version || x.Stale && !s.Single(now, settle)
+	storeTime, settle := r.storeTime(now), r.settleTime(route.ServiceName(x.Service), now)
+	v, ok := s.Begun(x.Slot, storeTime, settle)
+	return !ok || v != x.Version || x.Stale && !s.Single(storeTime, settle)
 }
 
 // Run writes records and splits until c ends.
@@ -324,12 +328,12 @@
 func (r *Registry) Step(c context.Context) {
 	responsible, now := r.Responsible(), r.Timer.Boot()
 	r.dropStreams(now)
-	for _, s := range r.lasting() {
+	for _, s := range r.lasting(now) {
 		serving := r.Serving(s)
 		r.mu.Lock()
 		x := r.split(s)
 		x.several = len(serving) > 1
-		next, differs := x.Next(serving, r.storeTime())
+		next, differs := x.Next(serving, r.storeTime(now))
 		lifetime, outdated := x.lifetime.ToStore(now)
 		if !differs && !x.lacking && !(outdated && next != software.Split{}) || !r.storeTimeKnown {
 			x.neededSince = 0
@@ -360,16 +364,16 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for s := range r.splits {
-		r.begun.Drop(string(s), now-r.settleTime(s))
+		r.begun.Drop(string(s), now-r.settleTime(s, now))
 	}
 }
 
 // lasting returns the services with streams that may be taken up.
-func (r *Registry) lasting() (out []route.ServiceName) {
+func (r *Registry) lasting(now time.Duration) (out []route.ServiceName) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for s := range r.splits {
-		if r.lifetime(s) > 0 {
+		if r.lifetime(s, now) > 0 {
 			out = append(out, s)
 		}
 	}
--- a/state/software/lifetime.go
+++ b/state/software/lifetime.go
@@ -5,6 +5,9 @@
 // MaxLifetime bounds the lifetime of streams. A longer one counts as this.
 const MaxLifetime = 24 * time.Hour
 
+// lifetimeUnit is the unit of the time in the row, to which the configured one is rounded up.
+const lifetimeUnit = time.Millisecond
+
 // Lifetime is how long after their begin the streams of a service may be taken up. A stream keeps the time that was
 // configured as it began, so a longer one counts for as long as such streams may last. The row of the split has the
 // time, too, for instances that start later. Instants are those of the own clock. The zero value is a service
@@ -24,7 +27,7 @@
 // Configure sets the lifetime by the configuration in force, or 0. Other instances may begin streams by the one
 // before until they have learned of it.
 func (l *Lifetime) Configure(d, now time.Duration) {
-	d = min(d, MaxLifetime)
+	d = min((d + lifetimeUnit - 1).Truncate(lifetimeUnit), MaxLifetime)
 	if d < l.configured {
 		earlier, until := l.configured, now+SwitchDelay+l.configured
 		if now <= l.until {
--- a/state/software/lifetime_test.go
+++ b/state/software/lifetime_test.go
@@ -62,3 +62,14 @@
 		t.Errorf("streams may be taken up for %v", d)
 	}
 }
+
+// A timeout is not a whole number of milliseconds, in which the row has it. The row would be written again and again.
+func TestStoredLifetimeIsThatOfTheRow(t *testing.T) {
+	var l software.Lifetime
+	l.Configure(1500*time.Millisecond+500*time.Microsecond, 0)
+	d, _ := l.ToStore(0)
+	l.Store(d.Truncate(time.Millisecond), 0)
+	if d, differs := l.ToStore(0); differs || d < 1500*time.Millisecond+500*time.Microsecond {
+		t.Errorf("%v is to be stored, %v", d, differs)
+	}
+}
