--- a/coordination/streams/streams_test.go
+++ b/coordination/streams/streams_test.go
@@ -38,6 +38,8 @@
 	clock    *timer.Service
 	serving  map[software.Version]int
 	lifetime time.Duration
+	// configured are the lifetimes of all services, if they are not lifetime and shortLifetime.
+	configured map[route.ServiceName]time.Duration
 	// age is the age of the splits.
 	age time.Duration
 	// mu guards registries, which are the instances by name, and left. Unreachable are those that do not answer others.
@@ -50,8 +52,9 @@
 	// peers is the number of other instances, if it is not 1. transactions counts those of the store.
 	peers        int
 	transactions atomic.Int64
-	// uptime is that of all instances.
-	uptime time.Duration
+	// uptime is the uptime of all instances at their start, which was at started.
+	uptime  time.Duration
+	started map[string]time.Duration
 	// failing are the kinds of calls to the store that fail. While hanging is set, all wait for hang to close.
 	failing atomic.Pointer[[]string]
 	hanging atomic.Bool
@@ -62,7 +65,7 @@
 }
 
 func newFleet() *fleet {
-	f := &fleet{store: memory.New(), clock: timer.New(), lifetime: time.Minute, registries: map[string]*streams.Registry{}, unreachable: map[string]bool{}, left: map[string]bool{}, stops: map[string]func(){}, uptime: time.Hour, hang: make(chan struct{})}
+	f := &fleet{store: memory.New(), clock: timer.New(), lifetime: time.Minute, registries: map[string]*streams.Registry{}, unreachable: map[string]bool{}, left: map[string]bool{}, stops: map[string]func(){}, started: map[string]time.Duration{}, uptime: time.Hour, hang: make(chan struct{})}
 	boot := f.clock.Boot
 	f.clock.Boot = func() time.Duration { return boot() + time.Duration(f.ahead.Load()) }
 	f.startedAt = f.clock.Boot()
@@ -86,13 +89,16 @@
 	f.read(t, r)
 	c, cancel := context.WithCancel(t.Context())
 	f.mu.Lock()
-	f.stops[name] = cancel
+	f.stops[name], f.started[name] = cancel, f.clock.Boot()
 	f.mu.Unlock()
 	go r.Run(c)
 	return r
 }
 
 func (f *fleet) lifetimes() map[route.ServiceName]time.Duration {
+	if f.configured != nil {
+		return maps.Clone(f.configured)
+	}
 	if f.lifetime == 0 {
 		return nil
 	}
@@ -103,6 +109,10 @@
 // such streams.
 func (f *fleet) configure(d time.Duration) {
 	f.lifetime = d
+	f.spreadConfiguration()
+}
+
+func (f *fleet) spreadConfiguration() {
 	for _, r := range f.all() {
 		r.Configure(f.lifetimes())
 	}
@@ -134,17 +144,19 @@
 // ask asks all instances but the named one for streams. It holds no lock meanwhile: a Registry asks for the instances
 // with its own lock held.
 func (f *fleet) ask(name string, ids []software.StreamID) streams.Answer {
-	all := streams.Answer{Versions: map[software.StreamID]software.Version{}, Complete: true}
 	f.mu.Lock()
-	left, unreachable := maps.Clone(f.left), maps.Clone(f.unreachable)
+	left, unreachable, started := maps.Clone(f.left), maps.Clone(f.unreachable), maps.Clone(f.started)
 	f.mu.Unlock()
-	for other, r := range f.all() {
+	uptime := func(n string) time.Duration { return f.uptime + f.clock.Boot() - started[n] }
+	l := f.all()
+	all := streams.Answer{Versions: map[software.StreamID]software.Version{}, Complete: uptime(name) > l[name].Retention()}
+	for other, r := range l {
 		switch {
 		case other == name || left[other]:
 		case unreachable[other]:
 			all.Complete = false
 		default:
-			a := r.Answer(ids, f.uptime)
+			a := r.Answer(ids, uptime(other))
 			all.Complete = all.Complete && a.Complete
 			maps.Copy(all.Versions, a.Versions)
 		}
