--- a/coordination/streams/adoption.go
+++ b/coordination/streams/adoption.go
@@ -10,8 +10,8 @@
 	"gentiangauge.example/gentiangauge/state/software"
 )
 
-// adoption is what this run of an instance has of the records of its earlier runs. Nobody else writes these again
-// after the store has come back from a copy that lacks them.
+// adoption has the records of the earlier runs of this instance. Only the present run can write them again after the
+// store has come back from a copy that lacks them.
 type adoption struct {
 	versions map[software.StreamID]software.Version
 	// at is when they were read, and since the era from which on this run has all of them. Both are 0 before.
@@ -34,8 +34,8 @@
 	}
 }
 
-// adopt takes over the records of earlier runs. They are not all if a row had not room for them or, in an era in which
-// records may be lost, unless an earlier run has said in that era that it had all.
+// adopt takes over the records of earlier runs. They are partial if a row is, or if records may have been lost with the
+// era before and no earlier run has stated in this era that it has all.
 func (r *Registry) adopt(rows []mirror.Row) {
 	k := newRecords()
 	r.mu.Lock()
@@ -64,9 +64,9 @@
 	notify(r.changed)
 }
 
-// hasAllSince returns the era from which on this run has all records of its instance that may still be needed: the
-// present one if some may have been lost before. The caller holds the lock.
-func (r *Registry) hasAllSince() mirror.Era {
+// completeSince returns the era from which on this run has all records of its instance that may still be needed. It is
+// the present era if some may have been lost before. The caller holds the lock.
+func (r *Registry) completeSince() mirror.Era {
 	x := &r.adopted
 	now := r.Timer.Boot()
 	if (x.at == 0 || x.partial) && now-r.startedAt <= r.retention(now) {
--- a/coordination/streams/find.go
+++ b/coordination/streams/find.go
@@ -60,8 +60,8 @@
 	return "", fromNothing
 }
 
-// findBegun looks for a stream in the records of all instances, or asks these if that does not suffice. The result
-// decided is false if the stream surely has no record.
+// findBegun looks for a stream in the records of all instances, and asks the instances if records may be missing. The
+// result decided is false if the stream has no record for certain, so that the split tells its version.
 func (r *Registry) findBegun(c context.Context, id software.StreamID) (v software.Version, from origin, decided bool) {
 	from = fromRecord
 	v, found, complete := r.findRecord(c, id)
--- a/coordination/streams/record.go
+++ b/coordination/streams/record.go
@@ -70,8 +70,8 @@
 // recordRow is the row of the streams that one instance has begun. Each stream is its ID in hexadecimal and the
 // index of its version. Era is the era of the store in which the row was written, and StartedIn the one from which on
 // its writer has all records of the instance, also those of earlier runs, or Era if it may lack some. Earlier builds
-// leave both out, or have in StartedIn the era in which their run started. Partial is set if the row has not room for
-// all records.
+// leave both out, or have in StartedIn the era in which their run started. Partial is set if the row lacks records for
+// want of room.
 type recordRow struct {
 	WrittenMs int64             `json:"written-ms"`
 	Era       int64             `json:"era,omitempty"`
@@ -313,16 +313,17 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	lack := r.mayLack()
-	return r.era.current, lack && r.hasAllSince() < r.era.current
+	return r.era.current, lack && r.completeSince() < r.era.current
 }
 
-// recordList are the streams of an instance that need a record. It is partial if some have no room or are not held.
+// recordList has the streams of an instance that need a record. It is partial if some were left out for want of room.
 type recordList struct {
 	versions map[software.StreamID]software.Version
 	partial  bool
 }
 
-// differs reports whether the list has a stream that is not among others as it is, or is partial unlike them.
+// differs reports whether the list has a stream that others lack or have at another version, or is partial and they are
+// not, or the reverse.
 func (l recordList) differs(others recordList) bool {
 	for id, v := range l.versions {
 		if others.versions[id] != v {
@@ -362,7 +363,7 @@
 
 func (r *Registry) encodeRecords(list recordList, e mirror.Era) ([]byte, error) {
 	r.mu.Lock()
-	m := recordRow{WrittenMs: r.storeTime(r.Timer.Boot()).Milliseconds(), Era: int64(e), StartedIn: int64(r.hasAllSince()), Partial: list.partial, Streams: make(map[string]uint16, len(list.versions))}
+	m := recordRow{WrittenMs: r.storeTime(r.Timer.Boot()).Milliseconds(), Era: int64(e), StartedIn: int64(r.completeSince()), Partial: list.partial, Streams: make(map[string]uint16, len(list.versions))}
 	r.mu.Unlock()
 	index := map[software.Version]uint16{}
 	for id, v := range list.versions {
--- a/state/pool/versions.go
+++ b/state/pool/versions.go
@@ -40,8 +40,9 @@
 	return true
 }
 
-// versionMargin is how long before the end of the time for older versions their responses must begin: a request that
-// is cancelled may still begin while the engine hears of that.
+// versionMargin is how long before the end of the time for older versions their responses must begin: what another
+// instance knows of the announcements is some 0.1 s old, and a request that is cancelled may still begin while the
+// engine hears of that.
 const versionMargin = 500 * time.Millisecond
 
 // Usable returns the newest version of an adapter, the oldest one that requests may still be sent to, and the instant
